--- /dev/null
+++ b/src/waxwinghold/_clock.py
@@ -0,0 +1,46 @@
+"""The one clock of the system, in milliseconds."""
+
+import asyncio
+import time
+from dataclasses import dataclass, field
+from typing import Callable
+
+NANOSECONDS_PER_MS = 1_000_000
+MS_PER_SECOND = 1000
+
+
+def _wall_now_ms():
+    return time.time_ns() // NANOSECONDS_PER_MS
+
+
+@dataclass(frozen=True, kw_only=True)
+class Clock:
+    """Tells monotonic and wall time in milliseconds.
+
+    Wall time is the wall time at the clock's start plus the monotonic time
+    since then, so that no step of the host's clock moves it.
+
+    Args:
+        read_ns: Reads monotonic time in nanoseconds; tests pass their own.
+        wall_start_ms: Wall time when the clock was made.
+    """
+
+    read_ns: Callable[[], int] = time.monotonic_ns
+    wall_start_ms: int = field(default_factory=_wall_now_ms)
+    start_ns: int = field(init=False)
+
+    def __post_init__(self):
+        object.__setattr__(self, "start_ns", self.read_ns())
+
+    def now_ms(self):
+        """Return monotonic milliseconds, as a float, from an arbitrary start."""
+        return self.read_ns() / NANOSECONDS_PER_MS
+
+    def wall_ms(self):
+        """Return wall milliseconds since the epoch, untouched by clock steps."""
+        elapsed_ns = self.read_ns() - self.start_ns
+        return self.wall_start_ms + elapsed_ns // NANOSECONDS_PER_MS
+
+    async def sleep_ms(self, duration_ms):
+        """Sleep for ``duration_ms`` of the event loop's time."""
+        await asyncio.sleep(duration_ms / MS_PER_SECOND)
--- /dev/null
+++ b/src/waxwinghold/_errors.py
@@ -0,0 +1,248 @@
+"""Errors with codes: one class for each cause."""
+
+from ._verdict import Ran, Verdict
+
+
+class WaxwingError(Exception):
+    """Base of every error that the product raises on purpose.
+
+    Attributes:
+        code: A stable name that programs may compare.
+        exit_status: The exit status of a command that ends with this error.
+    """
+
+    code = "internal"
+    exit_status = 1
+
+
+class RequestError(WaxwingError):
+    """Base of the errors that end a caller's request.
+
+    Attributes:
+        status: The HTTP status that the caller gets.
+        ran: Whether the request may have run.
+        retry_after_ms: When to come back, or ``None``.
+    """
+
+    status = 500
+    ran = Ran.NOT_RUN
+    retry_after_ms = None
+
+    def __init__(self, reason, *, ran=None, retry_after_ms=None):
+        super().__init__(reason)
+        if ran is not None:
+            self.ran = ran
+        if retry_after_ms is not None:
+            self.retry_after_ms = retry_after_ms
+
+    def verdict(self):
+        """Return this error as a ``Verdict``."""
+        return Verdict(
+            ran=self.ran,
+            code=self.code,
+            reason=str(self),
+            retry_after_ms=self.retry_after_ms,
+        )
+
+
+class UnknownCustomerError(RequestError):
+    code = "unknown_customer"
+    status = 401
+
+    def __init__(self):
+        super().__init__("the customer's name or token does not match the sheet")
+
+
+class UnknownServiceError(RequestError):
+    code = "unknown_service"
+    status = 404
+
+    def __init__(self, *, service):
+        super().__init__(f'service "{service}" does not exist in the sheet')
+
+
+class UnknownCallError(RequestError):
+    code = "unknown_call"
+    status = 404
+
+    def __init__(self, *, call, service):
+        super().__init__(f'call "{call}" does not exist in service "{service}"')
+
+
+class UnknownVersionError(RequestError):
+    code = "unknown_version"
+    status = 404
+
+    def __init__(self, *, version, service):
+        super().__init__(f'version "{version}" does not exist in service "{service}"')
+
+
+class ServiceNotAllowedError(RequestError):
+    code = "service_not_allowed"
+    status = 403
+
+    def __init__(self, *, customer, service):
+        super().__init__(f'customer "{customer}" may not use service "{service}"')
+
+
+class BadRequestError(RequestError):
+    code = "bad_request"
+    status = 400
+
+
+class BodyTooLargeError(RequestError):
+    code = "body_too_large"
+    status = 413
+
+    def __init__(self, *, limit_bytes):
+        super().__init__(f"the body is larger than {limit_bytes} bytes")
+
+
+class KeyRequiredError(RequestError):
+    code = "key_required"
+    status = 428
+
+    def __init__(self, *, call, service):
+        super().__init__(
+            f'call "{call}" runs at most once and needs a key: '
+            f"POST /v1/services/{service}/keys, then send it as Idempotency-Key"
+        )
+
+
+class MalformedKeyError(RequestError):
+    code = "malformed_key"
+    status = 400
+
+    def __init__(self, *, service):
+        super().__init__(
+            "the Idempotency-Key was not issued by this system: "
+            f"POST /v1/services/{service}/keys to obtain one"
+        )
+
+
+class KeyExpiredError(RequestError):
+    code = "key_expired"
+    status = 410
+    ran = Ran.MAY_HAVE_RUN
+
+    def __init__(self):
+        super().__init__("the key has expired and its record is gone")
+
+
+class KeyMismatchError(RequestError):
+    code = "key_mismatch"
+    status = 422
+
+    def __init__(self, *, what):
+        super().__init__(f"the key was used or issued for another {what}")
+
+
+class KeyHomeLostError(RequestError):
+    code = "key_home_lost"
+    status = 503
+    ran = Ran.MAY_HAVE_RUN
+
+    def __init__(self, *, target):
+        super().__init__(
+            f'target "{target}" no longer holds the record of this key; '
+            "the outcome is unknown"
+        )
+
+
+class TargetUnreachableError(RequestError):
+    code = "target_unreachable"
+    status = 503
+    ran = Ran.MAY_HAVE_RUN
+    retry_after_ms = 2000
+
+
+class NoTargetError(RequestError):
+    code = "no_target"
+    status = 503
+    retry_after_ms = 1000
+
+    def __init__(self, *, service, version):
+        super().__init__(
+            f'no healthy target for service "{service}", version "{version}"'
+        )
+
+
+class OverloadedError(RequestError):
+    code = "overloaded"
+    status = 429
+    retry_after_ms = 1000
+
+
+class DeadlineError(RequestError):
+    code = "deadline"
+    status = 504
+
+
+class SuspectRequestError(RequestError):
+    code = "crashes_targets"
+    status = 422
+    ran = Ran.MAY_HAVE_RUN
+
+    def __init__(self, *, crashes_count):
+        super().__init__(
+            f"this request was running on {crashes_count} targets as they "
+            "crashed and is refused for good"
+        )
+
+
+class DrainingError(RequestError):
+    code = "draining"
+    status = 503
+    retry_after_ms = 1000
+
+
+class TargetFailedError(RequestError):
+    code = "target_failed"
+    status = 502
+    ran = Ran.MAY_HAVE_RUN
+
+
+class CancelledError(RequestError):
+    code = "cancelled"
+    status = 409
+    ran = Ran.MAY_HAVE_RUN
+
+
+class UnknownRequestError(RequestError):
+    code = "unknown_request"
+    status = 404
+    ran = Ran.MAY_HAVE_RUN
+
+
+class SettingsError(WaxwingError):
+    """A settings file that does not hold what it must."""
+
+    code = "settings"
+    exit_status = 3
+
+    def __init__(self, *, file, key, expected):
+        super().__init__(f'settings "{file}": key "{key}": expected {expected}')
+
+
+class SheetError(WaxwingError):
+    """A sheet that is not valid; names the row and the reason."""
+
+    code = "sheet"
+    exit_status = 4
+
+    def __init__(self, *, table, row, reason):
+        super().__init__(f'row "{row}" of table "{table}": {reason}')
+        self.table = table
+        self.row = row
+        self.reason = reason
+
+
+class SheetConflictError(WaxwingError):
+    """Two different sheets under one version."""
+
+    code = "sheet_conflict"
+    exit_status = 5
+
+    def __init__(self, *, version):
+        super().__init__(f'sheet version "{version}" was published with two contents')
+        self.version = version
--- /dev/null
+++ b/src/waxwinghold/_messages/__init__.py
@@ -0,0 +1,110 @@
+"""Typed messages between the system's processes, and their codec."""
+
+import msgspec
+
+from .._errors import WaxwingError
+from ._base import Message
+from .links import Heartbeat, Hello, Leaving, Report
+from .operators import (
+    AuditQuery,
+    AuditReply,
+    DrainOrder,
+    OrderReply,
+    StatusQuery,
+    StatusReply,
+)
+from .requests import (
+    Answer,
+    Cancel,
+    Chunk,
+    End,
+    Refused,
+    Resume,
+    Started,
+    Submit,
+    SuspectNotice,
+)
+from .sheets import SheetDelta, SheetFull, SheetPull
+
+__all__ = [
+    "Answer",
+    "AuditQuery",
+    "AuditReply",
+    "Cancel",
+    "Chunk",
+    "DrainOrder",
+    "End",
+    "Heartbeat",
+    "Hello",
+    "Leaving",
+    "MalformedFrameError",
+    "Message",
+    "OrderReply",
+    "Refused",
+    "Report",
+    "Resume",
+    "SheetDelta",
+    "SheetFull",
+    "SheetPull",
+    "Started",
+    "StatusQuery",
+    "StatusReply",
+    "Submit",
+    "SuspectNotice",
+    "decode",
+    "encode",
+]
+
+FRAME_LIMIT_BYTES = 4 * 1024 * 1024
+
+_AnyMessage = (
+    Answer
+    | AuditQuery
+    | AuditReply
+    | Cancel
+    | Chunk
+    | DrainOrder
+    | End
+    | Heartbeat
+    | Hello
+    | Leaving
+    | OrderReply
+    | Refused
+    | Resume
+    | SheetDelta
+    | SheetFull
+    | SheetPull
+    | Started
+    | StatusQuery
+    | StatusReply
+    | Submit
+    | SuspectNotice
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder = msgspec.msgpack.Decoder(_AnyMessage)
+
+
+class MalformedFrameError(WaxwingError):
+    """A frame that is no message of ours."""
+
+    code = "malformed_frame"
+
+
+def encode(message):
+    """Return ``message`` as the bytes of one frame."""
+    return _encoder.encode(message)
+
+
+def decode(frame):
+    """Return the message that ``frame`` holds.
+
+    Raises:
+        MalformedFrameError: The frame is too large, broken or of unknown type.
+    """
+    if len(frame) > FRAME_LIMIT_BYTES:
+        raise MalformedFrameError(f"frame of {len(frame)} bytes is too large")
+    try:
+        return _decoder.decode(frame)
+    except (msgspec.DecodeError, RecursionError) as error:
+        raise MalformedFrameError(f"frame cannot be decoded: {error}") from error
--- /dev/null
+++ b/src/waxwinghold/_policy/__init__.py
@@ -0,0 +1,1 @@
+"""Policies, in registries that decorators fill, each beside a naive one."""
--- /dev/null
+++ b/src/waxwinghold/_settings.py
@@ -0,0 +1,239 @@
+"""Settings of the processes: JSON with comments, validated into data classes."""
+
+import difflib
+import ipaddress
+import re
+import urllib.parse
+from dataclasses import dataclass, fields
+from pathlib import Path
+
+import json5
+
+from ._convert import ConversionError, convert
+from ._errors import SettingsError
+
+Z85_KEY_LENGTH = 40
+SECRET_LENGTH_MIN = 32
+
+
+@dataclass(frozen=True, kw_only=True)
+class KnownKey:
+    """A CURVE public key that may connect, and the role that it proves.
+
+    Args:
+        name: Names the key in logs and the audit trail.
+        role: ``entry``, ``agent`` or ``operator``.
+        public_key: The key in Z85, 40 characters.
+    """
+
+    name: str
+    role: str
+    public_key: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Peer:
+    """Another entry that this process keeps a link to."""
+
+    name: str
+    data_centre: str
+    address: str
+    public_key: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class ProcessSettings:
+    """What every process needs.
+
+    Args:
+        name: The process's name, unique in the fleet.
+        data_centre: The data centre that the process stands in.
+        link_address: Where other processes reach this one, ``tcp://IP:PORT``.
+        link_secret_key: This process's CURVE secret key in Z85.
+        link_public_key: This process's CURVE public key in Z85.
+        known_keys: Keys that may connect.
+        peers: Entries to keep links to.
+        platform_url: The platform's configuration service, ``http://IP:PORT``.
+        token_secrets: Secrets for keys and request tokens; the first one
+            signs, all are accepted, so that they can be rotated.
+        heartbeat_interval_ms: Time between heartbeats.
+        silence_limit_ms: Silence after which a connection is replaced.
+        drain_limit_ms: Longest time that a stop waits for work in flight.
+        watch_wait_ms: How long the platform may hold a watch.
+        readers_count: Processes of a data centre that watch the platform.
+        log_level: A level name of logbook.
+    """
+
+    name: str
+    data_centre: str
+    link_address: str
+    link_secret_key: str
+    link_public_key: str
+    platform_url: str
+    token_secrets: tuple[str, ...]
+    known_keys: tuple[KnownKey, ...] = ()
+    peers: tuple[Peer, ...] = ()
+    heartbeat_interval_ms: int = 1000
+    silence_limit_ms: int = 3000
+    drain_limit_ms: int = 60_000
+    watch_wait_ms: int = 30_000
+    readers_count: int = 2
+    audit_limit_count: int = 10_000
+    log_level: str = "INFO"
+
+
+@dataclass(frozen=True, kw_only=True)
+class EntrySettings(ProcessSettings):
+    """Settings of ``waxwingd entry``.
+
+    Args:
+        http_address: Where callers reach this entry, ``IP:PORT``.
+        body_limit_bytes: Largest request body.
+        answer_limit_bytes: Largest answer that is not streamed.
+        key_lifetime_ms: How long an issued key can be used.
+        targets_limit_count: Targets that the entry keeps links to.
+        keepalive_interval_ms: Time between comments on a quiet stream.
+        crashes_limit_count: Target crashes after which a request is refused.
+        retry_budget_ratio: Retries allowed for each first attempt.
+    """
+
+    http_address: str
+    body_limit_bytes: int = 1024 * 1024
+    answer_limit_bytes: int = 4 * 1024 * 1024
+    key_lifetime_ms: int = 600_000
+    targets_limit_count: int = 128
+    in_flight_limit_count: int = 4096
+    keepalive_interval_ms: int = 10_000
+    crashes_limit_count: int = 2
+    retry_budget_ratio: float = 0.1
+
+
+@dataclass(frozen=True, kw_only=True)
+class AgentSettings(ProcessSettings):
+    """Settings of ``waxwingd agent``.
+
+    Args:
+        target: The target's name in the sheet.
+        target_url: The engine or plain service, ``http://IP:PORT``.
+        queue_limit_count: Requests that may wait for the target.
+        ledger_limit_bytes: Memory for recorded answers of once-only calls.
+        answer_retention_ms: How long an ended stream can be resumed.
+        health_interval_ms: Time between the target's health checks.
+        target_silence_ms: Silence of a target's connection before it is probed.
+        pause_limit_ms: Jump of monotonic time that counts as a pause.
+    """
+
+    target: str
+    target_url: str
+    queue_limit_count: int = 1024
+    ledger_limit_bytes: int = 32 * 1024 * 1024
+    answer_retention_ms: int = 30_000
+    health_interval_ms: int = 500
+    target_silence_ms: int = 2000
+    pause_limit_ms: int = 2000
+
+
+def load_settings(path, kind):
+    """Read and validate a settings file.
+
+    Args:
+        path: The file, JSON with comments.
+        kind: ``EntrySettings`` or ``AgentSettings``.
+
+    Raises:
+        SettingsError: The file cannot be read, or a key is unknown, missing
+            or does not hold what it must.
+    """
+    try:
+        document = json5.loads(Path(path).read_text())
+    except OSError as error:
+        reason = f"a readable file ({error.strerror})"
+        raise SettingsError(file=path, key="(file)", expected=reason) from error
+    except ValueError as error:
+        reason = f"JSON with comments ({error})"
+        raise SettingsError(file=path, key="(file)", expected=reason) from error
+    if not isinstance(document, dict):
+        raise SettingsError(file=path, key="(top)", expected="an object")
+    _refuse_unknown(path, document, kind)
+    try:
+        settings = convert(document, kind)
+    except ConversionError as error:
+        raise SettingsError(
+            file=path, key=error.path, expected=error.expected
+        ) from error
+    _check_values(path, settings)
+    return settings
+
+
+def _refuse_unknown(path, document, kind):
+    names = [field.name for field in fields(kind)]
+    for key in document:
+        if key in names:
+            continue
+        close = difflib.get_close_matches(key, names, n=1)
+        expected = f'"{close[0]}"' if close else "no such key"
+        raise SettingsError(file=path, key=key, expected=expected)
+
+
+def _check_values(path, settings):
+    for field in fields(settings):
+        value = getattr(settings, field.name)
+        problem = _problem(field.name, value)
+        if problem:
+            raise SettingsError(file=path, key=field.name, expected=problem)
+    for table in ("known_keys", "peers"):
+        for index, row in enumerate(getattr(settings, table)):
+            for field in fields(row):
+                problem = _problem(field.name, getattr(row, field.name))
+                if problem:
+                    key = f"{table}[{index}].{field.name}"
+                    raise SettingsError(file=path, key=key, expected=problem)
+
+
+def _problem(name, value):
+    """Return what was expected of the field, or ``None`` if it is met."""
+    if name in ("link_address", "address"):
+        return None if is_link_address(value) else "tcp://IP:PORT with an IP number"
+    if name == "http_address":
+        return None if _is_ip_port(value) else "IP:PORT with an IP number"
+    if name in ("platform_url", "target_url"):
+        return None if is_ip_url(value) else "http://IP:PORT with an IP number"
+    if name.endswith(("public_key", "secret_key")):
+        return None if len(value) == Z85_KEY_LENGTH else "40 characters of Z85"
+    if name == "token_secrets":
+        good = value and all(len(secret) >= SECRET_LENGTH_MIN for secret in value)
+        return None if good else f"secrets of {SECRET_LENGTH_MIN} characters or more"
+    if name == "role":
+        return None if value in ("entry", "agent", "operator") else "a known role"
+    if name in ("name", "data_centre", "target"):
+        good = re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", value)
+        return None if good else "a name of letters, digits, '.', '_' and '-'"
+    if name.endswith(("_ms", "_count", "_bytes")) and value <= 0:
+        return "a number above 0"
+    return None
+
+
+def is_link_address(text):
+    """Return whether ``text`` is ``tcp://IP:PORT`` with an IP number."""
+    return text.startswith("tcp://") and _is_ip_port(text.removeprefix("tcp://"))
+
+
+def is_ip_url(text):
+    """Return whether ``text`` is ``http://IP:PORT`` with an IP number."""
+    parts = urllib.parse.urlsplit(text)
+    return parts.scheme in ("http", "https") and _is_ip_port(parts.netloc)
+
+
+def split_ip_port(text):
+    """Return the host and the port number of ``IP:PORT``."""
+    host, _, port = text.rpartition(":")
+    return host.strip("[]"), int(port)
+
+
+def _is_ip_port(text):
+    host, _, port = text.rpartition(":")
+    try:
+        ipaddress.ip_address(host.strip("[]"))
+        return 0 < int(port) < 65536
+    except ValueError:
+        return False
--- /dev/null
+++ b/src/waxwinghold/_sheet/__init__.py
@@ -0,0 +1,1 @@
+"""The sheet: model, validation, differences, watching and spreading."""
--- /dev/null
+++ b/src/waxwinghold_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Load, experiment and demonstration tools; the product never imports them."""
--- /dev/null
+++ b/tests/known_red.py
@@ -0,0 +1,69 @@
+"""A nose2 plugin that counts the real results and knows the recorded failures.
+
+KNOWN-RED.txt holds one entry a line: the test's id, then ``|`` and what was
+seen. A recorded test may fail; it must not pass unnoticed.
+"""
+
+import pathlib
+
+from nose2 import events
+
+RECORD = pathlib.Path(__file__).parents[1] / "KNOWN-RED.txt"
+
+
+def read_known_red(path=RECORD):
+    """Return the ids of the tests recorded as failing.
+
+    Args:
+        path: The record; a missing file means that nothing is recorded.
+    """
+    if not path.exists():
+        return {}
+    lines = [line.strip() for line in path.read_text().splitlines()]
+    entries = [line.partition("|") for line in lines if line and line[0] != "#"]
+    return {name.strip(): note.strip() for name, _, note in entries}
+
+
+class KnownRed(events.Plugin):
+    """Counts outcomes; a recorded failure passes and a recorded pass fails."""
+
+    configSection = "known-red"
+
+    def __init__(self):
+        self.known = read_known_red()
+        self.passed_count = 0
+        self.failed_count = 0
+        self.skipped_count = 0
+        self.met = []
+
+    def setTestOutcome(self, event):
+        """Turn the outcome of a recorded test round."""
+        name = event.test.id()
+        if name not in self.known:
+            return
+        if event.outcome in ("failed", "error"):
+            event.outcome = "passed"
+            event.expected = True
+            self.met.append(name)
+        elif event.outcome == "passed":
+            event.outcome = "failed"
+            event.expected = False
+            self.met.append(f"{name} (passes now: remove it from KNOWN-RED.txt)")
+
+    def testOutcome(self, event):
+        """Count one outcome, subtests included."""
+        if event.outcome == "skipped":
+            self.skipped_count += 1
+        elif event.outcome == "passed" and event.expected:
+            self.passed_count += 1
+        else:
+            self.failed_count += 1
+
+    def afterSummaryReport(self, event):
+        """Print the recorded failures met and the closing line."""
+        for name in self.met:
+            event.stream.writeln(f"known red: {name}")
+        line = f"{self.passed_count} passed, {self.failed_count} failed"
+        if self.skipped_count:
+            line += f", {self.skipped_count} skipped"
+        event.stream.writeln(line)
