--- a/src/waxwinghold/_links/__init__.py
+++ b/src/waxwinghold/_links/__init__.py
@@ -0,0 +1,17 @@
+"""Links between the system's processes, over CURVE-secured sockets."""
+
+from .client import Link
+from .curve import KeyRing, start_authenticator
+from .errors import LinkDownError
+from .presence import Presence
+from .server import Connection, LinkServer
+
+__all__ = [
+    "Connection",
+    "KeyRing",
+    "Link",
+    "LinkDownError",
+    "LinkServer",
+    "Presence",
+    "start_authenticator",
+]
--- a/src/waxwinghold/_messages/__init__.py
+++ b/src/waxwinghold/_messages/__init__.py
@@ -17,7 +17,10 @@
     Answer,
     Cancel,
     Chunk,
+    Detach,
     End,
+    Probe,
+    ProbeReply,
     Refused,
     Resume,
     Started,
@@ -32,6 +35,7 @@
     "AuditReply",
     "Cancel",
     "Chunk",
+    "Detach",
     "DrainOrder",
     "End",
     "Heartbeat",
@@ -40,6 +44,8 @@
     "MalformedFrameError",
     "Message",
     "OrderReply",
+    "Probe",
+    "ProbeReply",
     "Refused",
     "Report",
     "Resume",
@@ -63,12 +69,15 @@
     | AuditReply
     | Cancel
     | Chunk
+    | Detach
     | DrainOrder
     | End
     | Heartbeat
     | Hello
     | Leaving
     | OrderReply
+    | Probe
+    | ProbeReply
     | Refused
     | Resume
     | SheetDelta
--- a/src/waxwinghold/_messages/requests.py
+++ b/src/waxwinghold/_messages/requests.py
@@ -11,7 +11,8 @@
         request_id: Names the request; the same for all of its attempts.
         attempt: Counts from 1 within the request.
         priority: 0 is the most urgent.
-        deadline_in_ms: Time left as this message was sent.
+        deadline_at_ms: When the request ends, by the receiving agent's clock, so
+            that a message that was long on its way is late and not young.
         key: The once-only key as issued, or ``None``.
         digest: Names the request's content; equal bodies have equal digests.
         given: Events of a streamed answer that the caller already has; the
@@ -26,7 +27,7 @@
     call: str
     customer: str
     priority: int
-    deadline_in_ms: float
+    deadline_at_ms: float
     body: bytes
     content_type: str
     digest: str
@@ -94,6 +95,26 @@
     customer: str
 
 
+class Detach(Message):
+    """Says that the caller went away; the answer is kept for a while."""
+
+    request_id: str
+
+
+class Probe(Message):
+    """Asks whether the target is healthy now, before a key names it."""
+
+    probe_id: str
+
+
+class ProbeReply(Message):
+    """The state of the target as checked for one ``Probe``."""
+
+    probe_id: str
+    healthy: bool
+    leaving: bool
+
+
 class Resume(Message):
     """Asks for a streamed answer again from ``offset`` on.
 
