--- /dev/null
+++ b/tests/test_policy_budget.py
@@ -0,0 +1,58 @@
+"""Retry budget, return times and early refusal."""
+
+import random
+import unittest
+
+from waxwinghold._policy import DeadlineAdmission, RetryBudget, ReturnSchedule
+
+
+class RetryBudgetTests(unittest.TestCase):
+    def test_retries_stay_within_the_ratio_when_all_fails(self):
+        budget = RetryBudget(ratio=0.1, burst_count=10, floor_per_second=1)
+        retries = 0
+        for now_ms in range(10_000):
+            budget.record_first(now_ms=now_ms)
+            retries += budget.take_retry(now_ms=now_ms)
+        self.assertLessEqual(retries, 10_000 * 0.1 + 10 + 10)
+        self.assertGreaterEqual(retries, 900)
+
+    def test_a_quiet_entry_can_retry(self):
+        budget = RetryBudget(ratio=0.1, burst_count=1, floor_per_second=1)
+        self.assertTrue(budget.take_retry(now_ms=0))
+        self.assertFalse(budget.take_retry(now_ms=500))
+        self.assertTrue(budget.take_retry(now_ms=1500))
+
+    def test_an_earlier_time_takes_nothing_away(self):
+        budget = RetryBudget(ratio=0.1, burst_count=2)
+        self.assertTrue(budget.take_retry(now_ms=5000))
+        self.assertTrue(budget.take_retry(now_ms=0))
+
+
+class ReturnScheduleTests(unittest.TestCase):
+    def test_refused_callers_come_back_spread_out(self):
+        schedule = ReturnSchedule(rng=random.Random(1))
+        for now_ms in range(0, 4001, 10):
+            schedule.record_completed(now_ms=now_ms)
+        returns = sorted(schedule.retry_after_ms(now_ms=4001) for _ in range(200))
+        self.assertGreaterEqual(returns[0], 375)
+        busiest = max(
+            sum(start <= moment < start + 1000 for moment in returns)
+            for start in range(0, 12_000, 250)
+        )
+        # A hundred complete each second, and a fifth as many come back.
+        self.assertLessEqual(busiest, 30)
+
+    def test_no_time_is_beyond_the_limit(self):
+        schedule = ReturnSchedule(rng=random.Random(1), limit_ms=2000)
+        told = [schedule.retry_after_ms(now_ms=0) for _ in range(1000)]
+        self.assertLessEqual(max(told), 2500)
+
+
+class AdmissionTests(unittest.TestCase):
+    def test_the_least_urgent_gives_way_first(self):
+        admission = DeadlineAdmission()
+        admitted = [
+            admission.admits(wait_ms=500, deadline_in_ms=1000, priority=priority)
+            for priority in range(4)
+        ]
+        self.assertEqual(admitted, [True, True, False, False])
--- /dev/null
+++ b/tests/test_policy_choice.py
@@ -0,0 +1,113 @@
+"""Target choice: who may be chosen, and what the choice weighs."""
+
+import random
+import unittest
+from collections import Counter
+from dataclasses import replace
+
+from waxwinghold._messages import Report
+from waxwinghold._policy import Candidate, ChoiceRequest, make_choice_policy
+from waxwinghold._policy.choice import UnknownPolicyError
+
+POLICIES = ("round_robin", "least_reported", "weighed")
+
+
+def make_candidate(name, *, waiting=0, running=0, step_ms=10.0, **fields):
+    report = Report(
+        waiting_count=waiting, running_count=running, slots_count=4, step_ms=step_ms
+    )
+    defaults = {"data_centre": "nadi", "slots_count": 4, "report": report}
+    return Candidate(name=name, **(defaults | fields))
+
+
+def make_policy(name="weighed", seed=1, **arguments):
+    return make_choice_policy(name, rng=random.Random(seed), **arguments)
+
+
+def choose_many(policy, candidates, *, count=200, **fields):
+    request = ChoiceRequest(data_centre="nadi", steps_count=20, **fields)
+    chosen = Counter()
+    for _ in range(count):
+        chosen[policy.choose(candidates, request=request, now_ms=0).name] += 1
+    return chosen
+
+
+class ChoiceTests(unittest.TestCase):
+    def test_every_policy_keeps_to_the_usable_candidates(self):
+        candidates = [
+            make_candidate("a", healthy=False),
+            make_candidate("b"),
+            make_candidate("c"),
+        ]
+        for name in POLICIES:
+            with self.subTest(policy=name):
+                chosen = choose_many(
+                    make_policy(name), candidates, tried=frozenset({"b"})
+                )
+                self.assertEqual(set(chosen), {"c"})
+                request = ChoiceRequest(data_centre="nadi", home="a")
+                none = make_policy(name).choose(candidates, request=request, now_ms=0)
+                self.assertIsNone(none)
+
+    def test_an_unknown_policy_is_named(self):
+        with self.assertRaisesRegex(UnknownPolicyError, '"best"'):
+            make_choice_policy("best")
+
+    def test_equal_seeds_choose_equally(self):
+        candidates = [make_candidate(str(number)) for number in range(9)]
+        runs = [choose_many(make_policy(seed=3), candidates) for _ in range(2)]
+        self.assertEqual(runs[0], runs[1])
+
+
+class WeighedTests(unittest.TestCase):
+    def test_the_idle_target_draws_no_herd(self):
+        candidates = [make_candidate(str(number), running=4) for number in range(8)]
+        candidates[0] = make_candidate("idle")
+        herd = choose_many(make_policy("least_reported"), candidates)
+        spread = choose_many(make_policy(), candidates)
+        self.assertEqual(herd["idle"], 200)
+        self.assertLess(spread["idle"], 100)
+
+    def test_own_requests_since_the_report_count(self):
+        fresh = make_candidate("a")
+        loaded = make_candidate("b", local_in_flight_count=8)
+        self.assertEqual(set(choose_many(make_policy(), [fresh, loaded])), {"a"})
+
+    def test_own_requests_in_the_report_count_once(self):
+        candidate = make_candidate(
+            "a",
+            running=4,
+            waiting=2,
+            local_in_flight_count=6,
+            in_flight_at_report_count=6,
+        )
+        policy = make_policy()
+        choose_many(policy, [candidate])
+        # Six requests and the new one on four slots: three quarters of a run.
+        self.assertAlmostEqual(policy.wait_ms(candidate, now_ms=0), 0.75 * 200)
+
+    def test_a_far_target_gets_work_only_when_it_pays(self):
+        near = make_candidate("near")
+        far = make_candidate("far", data_centre="suva", link_delay_ms=0.5)
+        self.assertEqual(set(choose_many(make_policy(), [near, far])), {"near"})
+        busy = replace(near, local_in_flight_count=12)
+        self.assertEqual(set(choose_many(make_policy(), [busy, far])), {"far"})
+
+    def test_a_prefix_stays_where_it_went_until_that_target_is_busy(self):
+        candidates = [make_candidate(str(number)) for number in range(8)]
+        policy = make_policy()
+        chosen = choose_many(policy, candidates, prefix="abc")
+        self.assertEqual(len(chosen), 1)
+        (name,) = chosen
+        index = int(name)
+        candidates[index] = replace(candidates[index], local_in_flight_count=16)
+        self.assertNotIn(name, choose_many(policy, candidates, prefix="abc"))
+
+    def test_entries_agree_on_the_home_of_a_fresh_prefix(self):
+        candidates = [make_candidate(str(number)) for number in range(8)]
+        homes = Counter()
+        for seed in range(8):
+            homes += choose_many(
+                make_policy(seed=seed), candidates, count=1, prefix="a"
+            )
+        self.assertGreaterEqual(max(homes.values()), 4)
