--- /dev/null
+++ b/src/waxwinghold/_agent/ledger.py
@@ -0,0 +1,276 @@
+"""The at-most-once ledger of the keys that one agent incarnation serves."""
+
+import asyncio
+import enum
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+from .._errors import KeyExpiredError, KeyMismatchError, OverloadedError, WaxwingError
+from .._verdict import Ran, Verdict
+
+# Python objects of one record, without the bytes of its strings and answer.
+RECORD_OVERHEAD_BYTES = 1024
+ANSWER_LIMIT_BYTES = 256 * 1024
+# How often the record of a request that runs past its key's expiry is looked at.
+LINGER_MS = 1000
+
+
+class LedgerOrderError(WaxwingError):
+    """A step that the record's state does not allow; a fault in the caller."""
+
+    code = "ledger_order"
+
+    def __init__(self, *, key_id, step, state):
+        super().__init__(f'key "{key_id}": no {step} in state {state}')
+
+
+class State(enum.StrEnum):
+    """What the ledger knows of a key."""
+
+    ACCEPTED = "accepted"
+    STARTED = "started"
+    ANSWERED = "answered"
+    REFUSED = "refused"
+    UNKNOWN = "unknown"
+
+
+class Action(enum.StrEnum):
+    """What the agent does with a request that carries a key."""
+
+    RUN = "run"
+    WAIT = "wait"
+    REPLAY = "replay"
+    REFUSE = "refuse"
+
+
+@dataclass(frozen=True, kw_only=True)
+class RecordedAnswer:
+    """The target's answer, as it goes out to each caller that sends the key."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class Decision:
+    """What to do with a request.
+
+    Args:
+        answer: The recorded answer, for ``REPLAY``.
+        verdict: The recorded verdict, for ``REFUSE``.
+    """
+
+    action: Action
+    answer: RecordedAnswer | None = None
+    verdict: Verdict | None = None
+
+
+@dataclass(kw_only=True)
+class _Record:
+    digest: str
+    expiry_ms: int
+    size_bytes: int
+    state: State = State.ACCEPTED
+    answer: RecordedAnswer | None = None
+    verdict: Verdict | None = None
+    waiters: list = field(default_factory=list)
+
+    def decision(self):
+        if self.answer is not None:
+            return Decision(action=Action.REPLAY, answer=self.answer)
+        if self.verdict is not None:
+            return Decision(action=Action.REFUSE, verdict=self.verdict)
+        return Decision(action=Action.WAIT)
+
+
+_NOT_KEPT = Verdict(
+    ran=Ran.RAN,
+    code="answer_not_kept",
+    reason="the request ran; its answer was too large to be kept",
+)
+
+
+class Ledger:
+    """Decides, for each key, whether its request may run: at most once.
+
+    A record lives at least until its key expires, and an absent key runs only
+    while it has not expired, so a forgotten key never runs again. Time is the
+    highest that this ledger has seen. When memory runs out, answers are
+    dropped first, oldest first; then new keys are refused as not run. Such
+    refusals are recorded all at once by the latest expiry among them: an
+    absent key that does not expire after it stays refused.
+
+    Args:
+        clock: The agent's clock; its wall time never steps.
+        limit_bytes: Memory for all records.
+        answer_limit_bytes: The largest answer that is kept.
+    """
+
+    def __init__(self, *, clock, limit_bytes, answer_limit_bytes=ANSWER_LIMIT_BYTES):
+        self._clock = clock
+        self._limit_bytes = limit_bytes
+        self._answer_limit_bytes = answer_limit_bytes
+        self._records = {}
+        self._expiries = []
+        self._answers = OrderedDict()
+        self._answers_bytes = 0
+        self._latest_ms = 0
+        self._refused_to_expiry_ms = 0
+        self.used_bytes = 0
+
+    def __len__(self):
+        return len(self._records)
+
+    def now_ms(self):
+        """Return the highest wall time seen; keys expire by it."""
+        self._latest_ms = max(self._latest_ms, self._clock.wall_ms())
+        return self._latest_ms
+
+    def begin(self, *, key_id, digest, expiry_ms):
+        """Say what to do with a request; ``RUN`` is said once for each key.
+
+        Args:
+            key_id: Names the key.
+            digest: Names the request's content.
+            expiry_ms: When the key expires, as issued.
+
+        Raises:
+            KeyExpiredError: The key has expired and no record is left.
+            KeyMismatchError: The key was used with other content.
+            OverloadedError: There is no memory for the key; it will not run.
+        """
+        now_ms = self.now_ms()
+        self._drop_expired(now_ms)
+        record = self._records.get(key_id)
+        if record is not None:
+            if record.digest != digest:
+                raise KeyMismatchError(what="request")
+            return record.decision()
+        if expiry_ms <= now_ms:
+            raise KeyExpiredError()
+        self._add(key_id, digest, expiry_ms)
+        return Decision(action=Action.RUN)
+
+    def start(self, key_id):
+        """Mark that the target is about to get the request.
+
+        Raises:
+            LedgerOrderError: The key was refused, or has been started before.
+        """
+        record = self._records.get(key_id)
+        state = record.state if record else "absent"
+        if state != State.ACCEPTED:
+            raise LedgerOrderError(key_id=key_id, step="start", state=state)
+        record.state = State.STARTED
+
+    def finish(self, key_id, answer):
+        """Record the target's answer; it may come after an unknown outcome.
+
+        Raises:
+            LedgerOrderError: The request was never started.
+        """
+        record = self._records.get(key_id)
+        if record is None or record.state == State.ANSWERED:
+            # An unknown outcome may have expired before the answer came.
+            return
+        if record.state not in (State.STARTED, State.UNKNOWN):
+            raise LedgerOrderError(key_id=key_id, step="finish", state=record.state)
+        record.state = State.ANSWERED
+        self._keep_answer(key_id, record, answer)
+        self._tell(record, Decision(action=Action.REPLAY, answer=answer))
+
+    def refuse(self, key_id, verdict):
+        """Record that a request gets no answer, and return what to tell.
+
+        The caller tells the returned decision, never ``verdict`` itself: once
+        the request was started, "not run" is widened to "may have run", and a
+        key that has ended keeps its end.
+        """
+        record = self._records.get(key_id)
+        if record is None:
+            widened = verdict.after(Ran.MAY_HAVE_RUN)
+            return Decision(action=Action.REFUSE, verdict=widened)
+        if record.state == State.ACCEPTED:
+            record.state = State.REFUSED
+            record.verdict = verdict
+        elif record.state == State.STARTED:
+            record.state = State.UNKNOWN
+            record.verdict = verdict.after(Ran.MAY_HAVE_RUN)
+        decision = record.decision()
+        self._tell(record, decision)
+        return decision
+
+    async def wait(self, key_id):
+        """Return the decision in which a request in progress ends.
+
+        Raises:
+            LedgerOrderError: The key has no record.
+        """
+        record = self._records.get(key_id)
+        if record is None:
+            raise LedgerOrderError(key_id=key_id, step="wait", state="absent")
+        decision = record.decision()
+        if decision.action != Action.WAIT:
+            return decision
+        waiter = asyncio.get_running_loop().create_future()
+        record.waiters.append(waiter)
+        try:
+            return await waiter
+        finally:
+            if waiter in record.waiters:
+                record.waiters.remove(waiter)
+
+    def _tell(self, record, decision):
+        waiters, record.waiters = record.waiters, []
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(decision)
+
+    def _add(self, key_id, digest, expiry_ms):
+        size_bytes = RECORD_OVERHEAD_BYTES + len(key_id) + len(digest)
+        if expiry_ms <= self._refused_to_expiry_ms or not self._fits(size_bytes):
+            self._refused_to_expiry_ms = max(self._refused_to_expiry_ms, expiry_ms)
+            raise OverloadedError("no memory for another key at this target")
+        self._records[key_id] = _Record(
+            digest=digest, expiry_ms=expiry_ms, size_bytes=size_bytes
+        )
+        self.used_bytes += size_bytes
+        heapq.heappush(self._expiries, (expiry_ms, key_id))
+
+    def _keep_answer(self, key_id, record, answer):
+        answer_bytes = len(answer.body) + len(answer.content_type)
+        if answer_bytes > self._answer_limit_bytes or not self._fits(answer_bytes):
+            record.verdict = _NOT_KEPT
+            return
+        record.answer = answer
+        record.size_bytes += answer_bytes
+        self.used_bytes += answer_bytes
+        self._answers[key_id] = answer_bytes
+        self._answers_bytes += answer_bytes
+
+    def _fits(self, size_bytes):
+        """Drop old answers until ``size_bytes`` more fit; say whether they do."""
+        if self.used_bytes - self._answers_bytes + size_bytes > self._limit_bytes:
+            return False
+        while self.used_bytes + size_bytes > self._limit_bytes:
+            key_id, answer_bytes = self._answers.popitem(last=False)
+            self._answers_bytes -= answer_bytes
+            record = self._records[key_id]
+            record.answer = None
+            record.verdict = _NOT_KEPT
+            record.size_bytes -= answer_bytes
+            self.used_bytes -= answer_bytes
+        return True
+
+    def _drop_expired(self, now_ms):
+        while self._expiries and self._expiries[0][0] <= now_ms:
+            key_id = heapq.heappop(self._expiries)[1]
+            record = self._records[key_id]
+            if record.state in (State.ACCEPTED, State.STARTED):
+                heapq.heappush(self._expiries, (now_ms + LINGER_MS, key_id))
+                continue
+            self._answers_bytes -= self._answers.pop(key_id, 0)
+            self.used_bytes -= record.size_bytes
+            del self._records[key_id]
