Add stand-ins of the engine, the plain service and the platform

Cause: the product needs the systems around it on real sockets before its own daemons can be run or tested. Ruled out: a cluster simulator; these are small servers at the interfaces.

--- /dev/null
+++ b/src/waxwinghold_standins/_http.py
@@ -0,0 +1,134 @@
+"""What all stand-ins share: an HTTP server that can be silenced and crashed."""
+
+import asyncio
+import contextlib
+import os
+import signal
+
+from aiohttp import web
+
+from waxwinghold import Clock
+from waxwinghold._settings import split_ip_port
+
+CONTROL_PATH = "/_control/"
+BODY_LIMIT_BYTES = 64 * 1024 * 1024
+SHUTDOWN_LIMIT_S = 0.2
+SILENCE_POLL_MS = 50
+CRASH_EXIT_STATUS = 70
+
+
+class HttpStandIn:
+    """An HTTP server in front of a stand-in's state.
+
+    Subclasses return their routes from ``routes`` and may extend ``start``
+    and ``stop``.
+
+    Args:
+        clock: Tells the time.
+        exits_on_crash: Whether a crash ends the whole process.
+    """
+
+    def __init__(self, *, clock=None, exits_on_crash=False):
+        self.clock = clock or Clock()
+        self.url = None
+        self.crashes_count = 0
+        self._exits_on_crash = exits_on_crash
+        self._silenced = set()
+        self._runner = None
+
+    def routes(self):
+        """Return the aiohttp routes of this stand-in."""
+        raise NotImplementedError
+
+    async def start(self, *, host="127.0.0.1", port=0):
+        """Serve on ``host`` and ``port``; 0 takes a free port."""
+        app = web.Application(
+            middlewares=[self._guard], client_max_size=BODY_LIMIT_BYTES
+        )
+        app.add_routes(self.routes())
+        self._runner = web.AppRunner(
+            app, access_log=None, shutdown_timeout=SHUTDOWN_LIMIT_S
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+        address = self._runner.addresses[0]
+        self.url = f"http://{address[0]}:{address[1]}"
+
+    async def stop(self):
+        """Stop serving and close every connection."""
+        runner, self._runner = self._runner, None
+        if runner is not None:
+            await runner.cleanup()
+
+    @contextlib.asynccontextmanager
+    async def serving(self, *, host="127.0.0.1", port=0):
+        """Serve for the length of an ``async with`` block; gives the URL."""
+        await self.start(host=host, port=port)
+        try:
+            yield self.url
+        finally:
+            await self.stop()
+
+    def silence(self):
+        """Let every connection that is open now carry nothing more."""
+        self._silenced.update(self._connections())
+
+    def crash(self):
+        """End at once, as a killed process would."""
+        if self._exits_on_crash:
+            os._exit(CRASH_EXIT_STATUS)
+        self.crashes_count += 1
+        for connection in self._connections():
+            if connection.transport is not None:
+                connection.transport.abort()
+        if self._runner is not None:
+            for site in list(self._runner.sites):
+                site._server.close()
+
+    async def pass_line(self, request):
+        """Return if the request's connection may carry bytes; else never."""
+        if request.protocol not in self._silenced:
+            return
+        if request.path.startswith(CONTROL_PATH):
+            return
+        while request.transport is not None and not request.transport.is_closing():
+            await self.clock.sleep_ms(SILENCE_POLL_MS)
+        self._silenced.discard(request.protocol)
+        raise ConnectionResetError("the silenced connection was closed")
+
+    def _connections(self):
+        if self._runner is None or self._runner.server is None:
+            return []
+        return self._runner.server.connections
+
+    @web.middleware
+    async def _guard(self, request, handler):
+        await self.pass_line(request)
+        response = await handler(request)
+        await self.pass_line(request)
+        return response
+
+
+def abort(request):
+    """Break the request's connection, so that its caller sees a cut answer."""
+    if request.transport is not None:
+        request.transport.abort()
+
+
+def run_until_ended(standin, address):
+    """Serve ``standin`` on ``IP:PORT`` until SIGTERM or SIGINT.
+
+    Prints one line with the URL when it is ready.
+    """
+    asyncio.run(_serve_until_ended(standin, address))
+
+
+async def _serve_until_ended(standin, address):
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, ended.set)
+    host, port = split_ip_port(address)
+    async with standin.serving(host=host, port=port) as url:
+        print(f"ready {url}", flush=True)
+        await ended.wait()
--- /dev/null
+++ b/src/waxwinghold_standins/_orders.py
@@ -0,0 +1,181 @@
+"""Orders to an engine: the fence, and a registry of what each order does."""
+
+import asyncio
+from dataclasses import dataclass
+
+from ._faults import bad_request
+
+ORDERS = {}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Refusal:
+    """Why an order was not applied.
+
+    Args:
+        status: 409 for an old fencing number, 422 if it cannot be applied.
+        fence: The highest fencing number seen.
+    """
+
+    status: int
+    reason: str
+    fence: int
+
+
+class CannotApplyError(Exception):
+    """An order that does not fit the engine's state."""
+
+
+def order(name, **fields):
+    """Register what the order ``name`` does.
+
+    Args:
+        fields: Types of the order's fields.
+    """
+
+    def register(apply):
+        ORDERS[name] = (fields, apply)
+        return apply
+
+    return register
+
+
+class OrderDesk:
+    """Takes orders for one rank.
+
+    Args:
+        rank: The rank that orders change.
+        clock: Tells the time.
+        checks_orders: Whether orders with an old fencing number are refused.
+        load_model_ms: Time to load a model version.
+        load_expert_ms: Time to load one expert that the rank does not have.
+        wake: Called after each change.
+    """
+
+    def __init__(
+        self,
+        *,
+        rank,
+        clock,
+        wake,
+        checks_orders=True,
+        load_model_ms=0.0,
+        load_expert_ms=0.0,
+    ):
+        self.rank = rank
+        self.checks_orders = checks_orders
+        self.load_model_ms = load_model_ms
+        self.load_expert_ms = load_expert_ms
+        self.experts_loaded_count = 0
+        self.fence = 0
+        self.applied = []
+        self._clock = clock
+        self._wake = wake
+        self._loads = set()
+
+    def take(self, document):
+        """Apply an order; return ``None``, or a ``Refusal``.
+
+        Raises:
+            web.HTTPBadRequest: The order is unknown or broken.
+        """
+        name, fields, apply = _parsed(document)
+        fence = document["fence"]
+        if self.checks_orders and fence < self.fence:
+            reason = f"fence {fence} is older than {self.fence}"
+            return Refusal(status=409, reason=reason, fence=self.fence)
+        self.fence = max(self.fence, fence)
+        try:
+            apply(self, **{field: document[field] for field in fields})
+        except CannotApplyError as error:
+            return Refusal(status=422, reason=str(error), fence=self.fence)
+        self.applied.append(document)
+        self.rank.note_load()
+        self._wake()
+        return None
+
+    def after(self, duration_ms, change):
+        """Call ``change`` once a load of ``duration_ms`` is done."""
+        if duration_ms <= 0:
+            change()
+            return
+        task = asyncio.create_task(self._later(duration_ms, change))
+        self._loads.add(task)
+        task.add_done_callback(self._loads.discard)
+
+    async def stop(self):
+        """Give up loads that are not done."""
+        loads = list(self._loads)
+        for task in loads:
+            task.cancel()
+        await asyncio.gather(*loads, return_exceptions=True)
+
+    async def _later(self, duration_ms, change):
+        await self._clock.sleep_ms(duration_ms)
+        change()
+        self._wake()
+
+
+def _parsed(document):
+    name = document.get("order")
+    if name not in ORDERS:
+        names = ", ".join(sorted(ORDERS))
+        raise bad_request(f'order "{name}": expected one of {names}')
+    fields, apply = ORDERS[name]
+    for field, kind in {"fence": int, **fields}.items():
+        if field not in document or not isinstance(document[field], kind):
+            raise bad_request(f'order "{name}": key "{field}" is missing or broken')
+    return name, fields, apply
+
+
+@order("load_model", version=str)
+def _load_model(desk, *, version):
+    def change():
+        desk.rank.version = version
+
+    desk.after(desk.load_model_ms, change)
+
+
+@order("load_adapter", adapter=str)
+def _load_adapter(desk, *, adapter):
+    desk.rank.adapters.add(adapter)
+
+
+@order("unload_adapter", adapter=str)
+def _unload_adapter(desk, *, adapter):
+    desk.rank.adapters.discard(adapter)
+
+
+@order("set_role", role=str)
+def _set_role(desk, *, role):
+    desk.rank.role = role
+
+
+@order("load_experts", experts=list, map_id=str)
+def _load_experts(desk, *, experts, map_id):
+    missing_count = len(desk.rank.maps.missing(experts))
+    desk.experts_loaded_count += missing_count
+
+    def change():
+        desk.rank.maps.add(map_id, experts)
+
+    desk.after(missing_count * desk.load_expert_ms, change)
+
+
+@order("hold_before", step=int | None)
+def _hold_before(desk, *, step):
+    desk.rank.maps.hold(step)
+
+
+@order("switch_map", map_id=str, step=int)
+def _switch_map(desk, *, map_id, step):
+    if map_id not in desk.rank.maps.loaded:
+        raise CannotApplyError(f'map "{map_id}" is not loaded')
+    desk.rank.maps.switch(map_id, step)
+
+
+@order("drop_map", map_id=str)
+def _drop_map(desk, *, map_id):
+    if desk.rank.maps.is_used(map_id):
+        raise CannotApplyError(f'map "{map_id}" is in use')
+    desk.rank.maps.drop(map_id)
--- /dev/null
+++ b/src/waxwinghold_standins/_rank.py
@@ -0,0 +1,162 @@
+"""What one engine holds: its batch, queue, model, cache and expert maps."""
+
+import math
+
+from ._faults import TargetFaults
+from ._generation import State, WaitingQueue
+from ._load import LoadHistory
+from ._maps import INITIAL_MAP, ExpertMaps
+from ._prefixes import CacheEvents, PrefixCache
+from ._tokens import PREFIX_BYTES, prefix_digest
+
+RETENTION_MS = 30_000
+KV_BYTES_PER_TOKEN = 1024
+
+
+class Rank:
+    """The state of one engine, advanced step by step from outside.
+
+    Args:
+        clock: Tells the time.
+        version: The model version at the start.
+        adapters: Adapters loaded at the start.
+        role: The engine's role at the start.
+        slots_count: Generations that run at once.
+        step_ms: Time of a step.
+        step_per_request_ms: Added to a step for each running generation.
+        prefill_ms: Time of prefill for each 256 bytes of prompt; a prefix
+            found in the cache costs none.
+        prefixes_limit_count: Prefixes that the cache holds.
+        events_lag_ms: How late cache events become visible.
+        events_gap_every_count: One cache event in this many is lost.
+        load_lag_ms: How old the figures of a load report are.
+        map_id: The expert map at the start, or ``None`` for none.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock,
+        version="v1",
+        adapters=(),
+        role="serving",
+        slots_count=8,
+        step_ms=20.0,
+        step_per_request_ms=0.0,
+        prefill_ms=0.0,
+        prefixes_limit_count=64,
+        events_lag_ms=0.0,
+        events_gap_every_count=0,
+        load_lag_ms=0.0,
+        map_id=INITIAL_MAP,
+    ):
+        self.version = version
+        self.adapters = set(adapters)
+        self.role = role
+        self.slots_count = slots_count
+        self.step_ms = step_ms
+        self.step_per_request_ms = step_per_request_ms
+        self.prefill_ms = prefill_ms
+        self.faults = TargetFaults()
+        self.maps = ExpertMaps(map_id=map_id)
+        self.cache_events = CacheEvents(
+            clock=clock, lag_ms=events_lag_ms, gap_every_count=events_gap_every_count
+        )
+        self.prefixes = PrefixCache(
+            events=self.cache_events, limit_count=prefixes_limit_count
+        )
+        self.load = LoadHistory(clock=clock, lag_ms=load_lag_ms)
+        self.generations = {}
+        self.running = []
+        self.waiting = WaitingQueue()
+        self._clock = clock
+        self.note_load()
+
+    @property
+    def has_work(self):
+        """Whether a generation runs or waits."""
+        return bool(self.running) or len(self.waiting) > 0
+
+    @property
+    def wants_steps(self):
+        """Whether there is work, or a map change that waits for its step."""
+        return self.has_work or self.maps.changes
+
+    def may_step(self, step):
+        """Return whether this rank may take part in ``step``."""
+        return not self.faults.stalled and self.maps.may_begin(step)
+
+    def add(self, generation):
+        """Queue a generation."""
+        self._forget_old()
+        self.generations[generation.request_id] = generation
+        if generation.is_complete:
+            generation.finish(State.ENDED, self._clock.now_ms())
+            return
+        self.waiting.add(generation)
+        self.note_load()
+
+    def cancel(self, generation):
+        """Stop a generation and free its slot."""
+        if generation.is_over:
+            return
+        generation.finish(State.CANCELLED, self._clock.now_ms())
+        self.running = [item for item in self.running if not item.is_over]
+        self.note_load()
+
+    def begin_step(self, step):
+        """Fill free slots and return the expert map in force in ``step``."""
+        while len(self.running) < self.slots_count:
+            generation = self.waiting.take()
+            if generation is None:
+                break
+            generation.begin(
+                version=self.version, prefill_ms=self._prefill_ms(generation)
+            )
+            self.running.append(generation)
+        self.note_load()
+        return self.maps.begin(step)
+
+    def duration_ms(self):
+        """Return how long this rank takes for a step with its batch."""
+        if self.faults.step_ms is not None:
+            return self.faults.step_ms
+        return self.step_ms + self.step_per_request_ms * len(self.running)
+
+    def end_step(self, duration_ms):
+        """Give each running generation its token."""
+        for generation in self.running:
+            generation.advance(duration_ms)
+            if generation.is_complete:
+                generation.finish(State.ENDED, self._clock.now_ms())
+        self.running = [item for item in self.running if not item.is_over]
+        self.note_load()
+
+    def note_load(self):
+        """Take down the figures that load reports show later."""
+        if self.faults.load_lag_ms is not None:
+            self.load.lag_ms = self.faults.load_lag_ms
+        tokens_count = sum(len(item.tokens) for item in self.running)
+        self.load.add(
+            waiting_count=len(self.waiting),
+            running_count=len(self.running),
+            slots_count=self.slots_count,
+            step_ms=self.duration_ms(),
+            kv_used_bytes=self.prefixes.used_bytes + tokens_count * KV_BYTES_PER_TOKEN,
+        )
+
+    def _prefill_ms(self, generation):
+        blocks_count = math.ceil(len(generation.prompt.encode()) / PREFIX_BYTES)
+        if self.prefixes.use(prefix_digest(generation.prompt)):
+            blocks_count -= 1
+        return max(blocks_count, 0) * self.prefill_ms
+
+    def _forget_old(self):
+        until_ms = self._clock.now_ms() - RETENTION_MS
+        old = [
+            request_id
+            for request_id, generation in self.generations.items()
+            if generation.is_over and generation.ended_ms < until_ms
+        ]
+        for request_id in old:
+            del self.generations[request_id]
--- /dev/null
+++ b/src/waxwinghold_standins/engine.py
@@ -0,0 +1,208 @@
+"""A model engine: continuous batching behind HTTP, with faults on command."""
+
+import fire
+import msgspec
+from aiohttp import web
+
+from ._engine_control import ControlRoutes
+from ._faults import bad_request, json_answer, read_json
+from ._generation import Generation
+from ._http import HttpStandIn, abort, run_until_ended
+from ._orders import OrderDesk
+from ._rank import Rank
+from ._steps import Steps
+from ._tokens import prefix_digest, token_text, whole_text
+
+__all__ = ["Engine", "prefix_digest", "token_text", "whole_text"]
+
+LAGGING = {"load_lag_ms": 200.0, "events_lag_ms": 200.0, "events_gap_every_count": 20}
+_GENERATE_FIELDS = {
+    "request_id": (str, None),
+    "prompt": (str, None),
+    "max_tokens": (int, None),
+    "priority": (int, 1),
+    "adapter": (str, ""),
+    "given": (list, ()),
+}
+
+
+class Engine(ControlRoutes, HttpStandIn):
+    """A model engine.
+
+    Args:
+        checks_orders: Whether orders with an old fencing number are refused.
+        load_model_ms: Time to load a model version.
+        load_expert_ms: Time to load one expert.
+        steps: Steps shared with other ranks; by default the engine's own.
+        rank_options: Options of ``Rank``.
+    """
+
+    def __init__(
+        self,
+        *,
+        checks_orders=True,
+        load_model_ms=0.0,
+        load_expert_ms=0.0,
+        steps=None,
+        clock=None,
+        exits_on_crash=False,
+        **rank_options,
+    ):
+        super().__init__(clock=clock, exits_on_crash=exits_on_crash)
+        self.rank = Rank(clock=self.clock, **rank_options)
+        self.runs = {}
+        self._owns_steps = steps is None
+        self.steps = steps or Steps(ranks=[self.rank], clock=self.clock)
+        self.desk = OrderDesk(
+            rank=self.rank,
+            clock=self.clock,
+            wake=self.steps.wake,
+            checks_orders=checks_orders,
+            load_model_ms=load_model_ms,
+            load_expert_ms=load_expert_ms,
+        )
+
+    async def start(self, **address):
+        await super().start(**address)
+        if self._owns_steps:
+            self.steps.start()
+
+    async def stop(self):
+        if self._owns_steps:
+            await self.steps.stop()
+        await self.desk.stop()
+        await super().stop()
+
+    def routes(self):
+        return [
+            web.post("/generate", self._generate),
+            web.get("/requests/{request_id}/stream", self._resume),
+            web.get("/requests/{request_id}", self._state),
+            web.delete("/requests/{request_id}", self._cancel),
+            *self.control_routes(),
+        ]
+
+    async def _generate(self, request):
+        if self.rank.faults.refuse:
+            return json_answer({"reason": "refused by a fault"}, status=503)
+        generation = _parsed(await read_json(request))
+        if generation.adapter and generation.adapter not in self.rank.adapters:
+            raise bad_request(f'adapter "{generation.adapter}" is not loaded')
+        marker = self.rank.faults.crash_marker
+        if marker and marker in generation.prompt:
+            self.crash()
+            raise ConnectionResetError("crashed")
+        request_id = generation.request_id
+        known = self.rank.generations.get(request_id)
+        if known is not None and not known.is_over:
+            reason = f'request "{request_id}" is {known.state}'
+            return json_answer({"reason": reason}, status=409)
+        self.runs[request_id] = self.runs.get(request_id, 0) + 1
+        self.rank.add(generation)
+        self.steps.wake()
+        return await self._stream(request, generation, generation.given_count)
+
+    async def _resume(self, request):
+        generation = self._known(request)
+        try:
+            offset = int(request.query.get("offset", 0))
+        except ValueError as error:
+            raise bad_request('query "offset": expected a whole number') from error
+        return await self._stream(request, generation, max(offset, 0))
+
+    async def _state(self, request):
+        generation = self._known(request)
+        length = len(generation.tokens)
+        return json_answer({"state": generation.state, "length": length})
+
+    async def _cancel(self, request):
+        self.rank.cancel(self._known(request))
+        self.steps.wake()
+        return web.Response(status=204)
+
+    def _known(self, request):
+        request_id = request.match_info["request_id"]
+        generation = self.rank.generations.get(request_id)
+        if generation is None:
+            reason = {"reason": f'request "{request_id}" is unknown'}
+            raise web.HTTPNotFound(
+                text=msgspec.json.encode(reason).decode(),
+                content_type="application/json",
+            )
+        return generation
+
+    async def _stream(self, request, generation, place):
+        """Send the answer from ``place`` on; cut it if it was cancelled."""
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        begun = place
+        while True:
+            await generation.until_beyond(place)
+            await self.pass_line(request)
+            tokens = generation.tokens[place:]
+            limit = self.rank.faults.drop_after_count
+            if limit is not None:
+                tokens = tokens[: max(limit - (place - begun), 0)]
+            if tokens:
+                await response.write(_events(tokens, place))
+                place += len(tokens)
+            if limit is not None and place - begun >= limit:
+                abort(request)
+                return response
+            if generation.is_over and place >= len(generation.tokens):
+                break
+        if generation.is_complete:
+            length = len(generation.tokens)
+            await response.write(b'event: end\ndata: {"length": %d}\n\n' % length)
+        else:
+            abort(request)
+        return response
+
+
+def _events(tokens, place):
+    return b"".join(
+        b"id: %d\ndata: %s\n\n" % (number, msgspec.json.encode(token))
+        for number, token in enumerate(tokens, place)
+    )
+
+
+def _parsed(document):
+    """Return the ``Generation`` that a request's body asks for.
+
+    Raises:
+        web.HTTPBadRequest: A key is missing or of a wrong type.
+    """
+    values = {}
+    for name, (kind, default) in _GENERATE_FIELDS.items():
+        value = document.get(name, default)
+        broken = value is None or isinstance(value, bool)
+        if broken or not isinstance(value, (kind, type(default))):
+            raise bad_request(f'key "{name}": expected {kind.__name__}')
+        values[name] = value
+    if not all(isinstance(token, str) for token in values["given"]):
+        raise bad_request('key "given": expected a list of texts')
+    return Generation(**values)
+
+
+def serve(*, address, model_version="v1", adapters=(), **options):
+    """Serve a model engine until SIGTERM.
+
+    Args:
+        address: ``IP:PORT`` to serve on.
+        model_version: The model version at the start.
+        adapters: Adapters loaded at the start, separated by commas.
+        options: Options of ``Engine`` and ``Rank``, such as ``--step_ms 20``.
+            Reports and cache events lag unless told otherwise.
+    """
+    names = adapters.split(",") if isinstance(adapters, str) else adapters
+    engine = Engine(
+        version=str(model_version),
+        adapters=[str(name) for name in names],
+        exits_on_crash=True,
+        **LAGGING | options,
+    )
+    run_until_ended(engine, address)
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
--- /dev/null
+++ b/src/waxwinghold_standins/service.py
@@ -0,0 +1,99 @@
+"""A plain service that counts what it ran, and repeats whatever it is told."""
+
+import collections
+
+import fire
+from aiohttp import web
+
+from ._faults import TargetFaults, changed_faults, json_answer, read_json
+from ._http import HttpStandIn, abort, run_until_ended
+
+REQUEST_ID_HEADER = "Waxwing-Request-Id"
+CUSTOMER_HEADER = "Waxwing-Customer"
+STALL_POLL_MS = 20
+
+
+class PlainService(HttpStandIn):
+    """Runs every call it gets and never deduplicates: doubled runs show.
+
+    Args:
+        name: Goes into each answer.
+        call_ms: How long a call takes. Its effect is counted at the end.
+    """
+
+    def __init__(self, *, name="service", call_ms=5.0, **options):
+        super().__init__(**options)
+        self.name = name
+        self.call_ms = call_ms
+        self.faults = TargetFaults()
+        self.effects = collections.defaultdict(collections.Counter)
+
+    def routes(self):
+        return [
+            web.post("/calls/{call}", self._call),
+            web.get("/health", self._health),
+            web.get("/effects", self._effects),
+            web.post("/_control/fault", self._fault),
+        ]
+
+    async def _call(self, request):
+        if self.faults.refuse:
+            return json_answer({"reason": "refused by a fault"}, status=503)
+        body = await request.read()
+        marker = self.faults.crash_marker
+        if marker and marker.encode() in body:
+            self.crash()
+            raise ConnectionResetError("crashed")
+        await self._work()
+        call = request.match_info["call"]
+        request_id = request.headers.get(REQUEST_ID_HEADER, "")
+        self.effects[call][request_id] += 1
+        if self.faults.drop_after_count is not None:
+            abort(request)
+        return json_answer(
+            {
+                "service": self.name,
+                "call": call,
+                "request_id": request_id,
+                "customer": request.headers.get(CUSTOMER_HEADER, ""),
+                "times_run": self.effects[call][request_id],
+                "body": body.decode(errors="replace"),
+            }
+        )
+
+    async def _work(self):
+        while self.faults.stalled:
+            await self.clock.sleep_ms(STALL_POLL_MS)
+        slow_ms = self.faults.step_ms
+        await self.clock.sleep_ms(self.call_ms if slow_ms is None else slow_ms)
+        while self.faults.stalled:
+            await self.clock.sleep_ms(STALL_POLL_MS)
+
+    async def _health(self, request):
+        return json_answer({"healthy": not self.faults.unhealthy})
+
+    async def _effects(self, request):
+        return json_answer(self.effects)
+
+    async def _fault(self, request):
+        changes = await read_json(request)
+        if changes.pop("silence", False):
+            self.silence()
+        self.faults = changed_faults(self.faults, changes)
+        return json_answer(self.faults)
+
+
+def serve(*, address, name="service", call_ms=5.0):
+    """Serve a plain service until SIGTERM.
+
+    Args:
+        address: ``IP:PORT`` to serve on.
+        name: Goes into each answer.
+        call_ms: How long a call takes.
+    """
+    service = PlainService(name=str(name), call_ms=call_ms, exits_on_crash=True)
+    run_until_ended(service, address)
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
