Add the entry, the agent and the daemon, not yet run end to end

Cause: the whole path needs both roles. Before: interfaces and links only. Conclusion: to be proved by the run on stand-ins.

--- /dev/null
+++ b/src/waxwinghold/_agent/monitor.py
@@ -0,0 +1,79 @@
+"""Watches the target's health and load, and reports them."""
+
+import asyncio
+from collections import OrderedDict
+
+from .._messages import Report
+from .._sheet.model import Kind
+
+REPORTED_PREFIXES_COUNT = 8
+KEPT_PREFIXES_COUNT = 1024
+
+
+class TargetMonitor:
+    """Polls the target and makes the agent's load reports.
+
+    Args:
+        client: The ``TargetClient``.
+        interval_ms: Time between polls.
+        kind: Returns the target's ``Kind``, or ``None`` before the sheet is known.
+    """
+
+    def __init__(self, *, clock, client, interval_ms, kind):
+        self._clock = clock
+        self._client = client
+        self._interval_ms = interval_ms
+        self._kind = kind
+        self._load = None
+        self._load_ms = 0.0
+        self._prefixes = OrderedDict()
+        self._last_event = 0
+        self.healthy = False
+
+    async def run(self):
+        """Poll until cancelled."""
+        while True:
+            self.healthy = await self._client.is_healthy()
+            if self._kind() == Kind.MODEL and self.healthy:
+                await asyncio.gather(self._read_load(), self._read_cache_events())
+            await self._clock.sleep_ms(self._interval_ms)
+
+    async def check(self):
+        """Check the target's health now and return it."""
+        self.healthy = await self._client.is_healthy()
+        return self.healthy
+
+    def report(self, *, waiting_count, running_count, slots_count, queue_wait_ms):
+        """Return the load report of this moment."""
+        step_ms = self._load.step_ms if self._load else 0.0
+        age_ms = 0.0
+        if self._load:
+            age_ms = self._load.age_ms + self._clock.now_ms() - self._load_ms
+        newest = list(self._prefixes)[-REPORTED_PREFIXES_COUNT:]
+        return Report(
+            waiting_count=waiting_count,
+            running_count=running_count,
+            slots_count=slots_count,
+            step_ms=round(step_ms, 1),
+            queue_wait_ms=round(queue_wait_ms, 1),
+            age_ms=round(age_ms, 1),
+            healthy=self.healthy,
+            prefixes=tuple(newest),
+        )
+
+    async def _read_load(self):
+        load = await self._client.load()
+        if load is not None:
+            self._load = load
+            self._load_ms = self._clock.now_ms()
+
+    async def _read_cache_events(self):
+        events = await self._client.cache_events(after=self._last_event)
+        for event in events:
+            self._last_event = max(self._last_event, event.get("sequence", 0))
+            prefix = event.get("prefix", "")
+            self._prefixes.pop(prefix, None)
+            if event.get("kind") == "stored":
+                self._prefixes[prefix] = True
+        while len(self._prefixes) > KEPT_PREFIXES_COUNT:
+            self._prefixes.popitem(last=False)
--- /dev/null
+++ b/src/waxwinghold/_agent/process.py
@@ -0,0 +1,107 @@
+"""The agent: one process beside one target."""
+
+from .._process import Process
+from .._sheet.index import index_sheet
+from .handler import AgentHandler
+from .ledger import Ledger
+from .monitor import TargetMonitor
+from .queueing import FairQueue
+from .runner import Runner
+from .target import TargetClient
+
+SLOTS_BEFORE_SHEET_COUNT = 1
+
+
+class AgentProcess(Process):
+    """Stands between the links and one target."""
+
+    role = "agent"
+
+    def __init__(self, *, clock, settings):
+        super().__init__(clock=clock, settings=settings)
+        self._index = None
+        self.queue = FairQueue(limit_count=settings.queue_limit_count)
+        self.ledger = Ledger(clock=clock, limit_bytes=settings.ledger_limit_bytes)
+        self.store.listen(self._sheet_changed)
+        self.client = None
+        self.monitor = None
+        self.runner = None
+        self._handler = None
+
+    @property
+    def target(self):
+        """This agent's row of the sheet, or ``None``."""
+        return self._index and self._index.targets.get(self.settings.name)
+
+    def kind(self):
+        """Return the ``Kind`` of the target's service, or ``None``."""
+        target = self.target
+        return target and self._index.services[target.service].kind
+
+    def slots_count(self):
+        """Return how many requests the target may run at once."""
+        target = self.target
+        return target.slots_count if target else SLOTS_BEFORE_SHEET_COUNT
+
+    def share_of(self, customer):
+        """Return the customer's share of a busy target."""
+        row = self._index.customers.get(customer) if self._index else None
+        return row.share if row else 1.0
+
+    def make_handler(self):
+        self.client = TargetClient(
+            url=self.settings.target_url, silence_ms=self.settings.target_silence_ms
+        )
+        self.monitor = TargetMonitor(
+            clock=self.clock,
+            client=self.client,
+            interval_ms=self.settings.health_interval_ms,
+            kind=self.kind,
+        )
+        self.runner = Runner(
+            clock=self.clock,
+            queue=self.queue,
+            ledger=self.ledger,
+            client=self.client,
+            monitor=self.monitor,
+            slots_count=self.slots_count,
+            kind=self.kind,
+        )
+        self._handler = AgentHandler(process=self)
+        return self._handler
+
+    async def start_role(self):
+        self.spawn(self.monitor.run())
+        self.spawn(self.runner.run())
+        self.spawn(self._handler.housekeep())
+
+    async def stop_role(self):
+        await self.client.close()
+
+    def unfinished_count(self):
+        return self._handler.unfinished_count
+
+    def report(self):
+        return self.monitor.report(
+            waiting_count=len(self.queue),
+            running_count=self.runner.running_count,
+            slots_count=self.slots_count(),
+            queue_wait_ms=self.runner.queue_wait_ms,
+        )
+
+    def status(self):
+        status = super().status()
+        status.update(
+            target_healthy=self.monitor.healthy,
+            waiting_count=len(self.queue),
+            running_count=self.runner.running_count,
+            slots_count=self.slots_count(),
+            keys_count=len(self.ledger),
+            ledger_bytes=self.ledger.used_bytes,
+        )
+        return status
+
+    def _sheet_changed(self, old, new):
+        self._index = index_sheet(new)
+        if self.runner is not None:
+            self.runner.wake()
--- /dev/null
+++ b/src/waxwinghold/_agent/runner.py
@@ -0,0 +1,195 @@
+"""Runs queued requests on the target, as many at once as it has slots."""
+
+import asyncio
+
+import logbook
+import msgspec
+
+from .._errors import CancelledError, DeadlineError, RequestError, TargetFailedError
+from .._sheet.model import Kind
+from .ledger import RecordedAnswer
+from .target import PlainAnswer
+from .work import Phase
+
+log = logbook.Logger("agent")
+
+TICK_INTERVAL_MS = 50
+
+
+class Runner:
+    """Takes requests from the queue and runs each in a task of its own.
+
+    A suspect, whose last target crashed, runs alone: nothing else is started
+    until it has ended, so that it can harm nobody beside it.
+
+    Args:
+        queue: The queue of waiting requests.
+        ledger: The ledger of once-only keys.
+        client: The ``TargetClient``.
+        monitor: The ``TargetMonitor``; hears at once of a target that failed.
+        slots_count: Returns how many requests may run at once.
+        kind: Returns the target's ``Kind``.
+    """
+
+    def __init__(self, *, clock, queue, ledger, client, monitor, slots_count, kind):
+        self._clock = clock
+        self._queue = queue
+        self._ledger = ledger
+        self._client = client
+        self._monitor = monitor
+        self._slots_count = slots_count
+        self._kind = kind
+        self._running = set()
+        self._suspect = None
+        self._alone = False
+        self._wake = asyncio.Event()
+        self.queue_wait_ms = 0.0
+
+    @property
+    def running_count(self):
+        """How many requests the target runs."""
+        return len(self._running)
+
+    def wake(self):
+        """Look at the queue again."""
+        self._wake.set()
+
+    async def run(self):
+        """Start requests as slots get free, until cancelled."""
+        while True:
+            try:
+                await asyncio.wait_for(self._wake.wait(), TICK_INTERVAL_MS / 1000)
+            except TimeoutError:
+                pass
+            self._wake.clear()
+            self._refuse_expired()
+            self._start_some()
+
+    def refuse(self, work, verdict):
+        """End ``work`` without an answer; the ledger's word goes before ours."""
+        if work.key is not None:
+            decision = self._ledger.refuse(work.key.nonce, verdict)
+            verdict = decision.verdict or verdict
+        work.end_with_verdict(verdict, now_ms=self._clock.now_ms())
+
+    def cancel(self, work):
+        """Stop ``work``; what has started may have run."""
+        if work.phase == Phase.ENDED:
+            return
+        work.cancel_error = CancelledError("the caller cancelled the request")
+        if work.phase == Phase.WAITING:
+            self._queue.remove(work.request_id)
+            error = CancelledError("the caller cancelled the request in time")
+            error.ran = error.ran.NOT_RUN
+            self.refuse(work, error.verdict())
+        elif work.task is not None:
+            work.task.cancel()
+
+    def _refuse_expired(self):
+        for item in self._queue.expired(self._clock.now_ms()):
+            error = DeadlineError("the deadline passed in the queue")
+            self.refuse(item.payload, error.verdict())
+
+    def _start_some(self):
+        while not self._alone and self._has_room():
+            work = self._next()
+            if work is None:
+                return
+            if work.submit.suspect and self._running:
+                self._suspect = work
+                return
+            self._begin(work)
+
+    def _has_room(self):
+        if self._suspect is not None:
+            return not self._running
+        return len(self._running) < self._slots_count()
+
+    def _next(self):
+        if self._suspect is not None:
+            work, self._suspect = self._suspect, None
+            return work
+        item = self._queue.take(self._clock.now_ms())
+        return item.payload if item else None
+
+    def _begin(self, work):
+        if work.phase == Phase.ENDED:
+            return
+        self.queue_wait_ms = self._clock.now_ms() - work.arrived_ms
+        self._alone = work.submit.suspect
+        self._running.add(work)
+        work.task = asyncio.create_task(self._run(work))
+        work.task.add_done_callback(lambda task: self._ended(work))
+
+    def _ended(self, work):
+        self._running.discard(work)
+        self._alone = False
+        self.wake()
+
+    async def _run(self, work):
+        try:
+            # Last look before the target gets the request: this process may
+            # have been paused since the request was taken from the queue.
+            self._check_deadline(work)
+            if work.key is not None:
+                self._ledger.start(work.key.nonce)
+            work.start()
+            await self._run_until_deadline(work)
+        except RequestError as error:
+            self._note_failure(error)
+            self.refuse(work, error.verdict())
+        except asyncio.CancelledError:
+            await self._client.cancel(work.request_id)
+            error = work.cancel_error or TargetFailedError("the agent is stopping")
+            self.refuse(work, error.verdict())
+        except Exception:
+            log.exception('request "{}" failed', work.request_id)
+            error = TargetFailedError("the agent failed")
+            self.refuse(work, error.verdict())
+
+    def _check_deadline(self, work):
+        if self._clock.wall_ms() >= work.submit.deadline_at_ms:
+            raise DeadlineError("the deadline passed before the request started")
+
+    async def _run_until_deadline(self, work):
+        left_ms = work.submit.deadline_at_ms - self._clock.wall_ms()
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                await self._run_on_target(work)
+        except TimeoutError:
+            if self._kind() == Kind.MODEL:
+                await self._client.cancel(work.request_id)
+            raise DeadlineError(
+                "the deadline passed while the request ran",
+                ran=TargetFailedError.ran,
+            ) from None
+
+    async def _run_on_target(self, work):
+        if self._kind() == Kind.PLAIN:
+            answer = await self._client.call(work.submit)
+        else:
+            async for events in self._client.generate(work.submit):
+                work.add_events(events)
+            if work.submit.streamed:
+                work.end_stream(now_ms=self._clock.now_ms())
+                return
+            answer = _joined(work.events)
+        self._record(work, answer)
+        work.end_with_answer(answer, now_ms=self._clock.now_ms())
+
+    def _record(self, work, answer):
+        if work.key is None:
+            return
+        recorded = RecordedAnswer(
+            status=answer.status, content_type=answer.content_type, body=answer.body
+        )
+        self._ledger.finish(work.key.nonce, recorded)
+
+    def _note_failure(self, error):
+        if error.code in ("target_crashed", "target_refused"):
+            self._monitor.healthy = False
+
+
+def _joined(events):
+    body = msgspec.json.encode({"text": "".join(events)})
+    return PlainAnswer(status=200, content_type="application/json", body=body)
--- /dev/null
+++ b/src/waxwinghold/_agent/target.py
@@ -0,0 +1,332 @@
+"""The agent's client of its target: a model engine or a plain service."""
+
+import asyncio
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from .._errors import TargetFailedError
+from .._verdict import Ran
+
+HEALTH_LIMIT_MS = 400
+PROBE_LIMIT_MS = 1000
+ANSWER_LIMIT_BYTES = 4 * 1024 * 1024
+EVENT_LIMIT_BYTES = 1024 * 1024
+CONNECTIONS_LIMIT_COUNT = 1024
+RESUMES_LIMIT_COUNT = 16
+
+
+class TargetCrashedError(TargetFailedError):
+    """The target went away while it held the request."""
+
+    code = "target_crashed"
+    retry_after_ms = 1000
+
+
+class TargetRefusedError(TargetFailedError):
+    """The target could not be reached at all, so nothing of it ran."""
+
+    code = "target_refused"
+    status = 503
+    ran = Ran.NOT_RUN
+    retry_after_ms = 1000
+
+
+@dataclass(frozen=True, kw_only=True)
+class PlainAnswer:
+    """What a target answered to a call that is not streamed."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineLoad:
+    """The engine's own figures, which lag by ``age_ms``."""
+
+    waiting_count: int = 0
+    running_count: int = 0
+    slots_count: int = 0
+    step_ms: float = 0.0
+    age_ms: float = 0.0
+
+
+class TargetClient:
+    """Speaks HTTP with the target, as ``docs/design/engine-protocol.md`` says.
+
+    Args:
+        url: The target, ``http://IP:PORT``.
+        silence_ms: Silence of a stream's connection before it is probed.
+    """
+
+    def __init__(self, *, url, silence_ms):
+        self._url = url
+        self._silence_ms = silence_ms
+        self._pooled = _session(force_close=False)
+        # A pooled connection may have been closed by the target, which would
+        # leave open whether a once-only request ran.
+        self._fresh = _session(force_close=True)
+
+    async def close(self):
+        """Close every connection."""
+        await self._pooled.close()
+        await self._fresh.close()
+
+    async def is_healthy(self):
+        """Return whether the target answers its health check now."""
+        timeout = aiohttp.ClientTimeout(total=HEALTH_LIMIT_MS / 1000)
+        try:
+            async with self._fresh.get(
+                f"{self._url}/health", timeout=timeout
+            ) as response:
+                document = await response.json()
+                return bool(document.get("healthy"))
+        except (aiohttp.ClientError, TimeoutError, ValueError, AttributeError):
+            return False
+
+    async def load(self):
+        """Return the engine's load, or ``None`` where it cannot be read."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_LIMIT_MS / 1000)
+        try:
+            async with self._pooled.get(
+                f"{self._url}/load", timeout=timeout
+            ) as response:
+                return msgspec.json.decode(await response.read(), type=EngineLoad)
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError):
+            return None
+
+    async def cache_events(self, *, after):
+        """Return the engine's cache events behind the sequence ``after``."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_LIMIT_MS / 1000)
+        url = f"{self._url}/cache_events?after={after}"
+        try:
+            async with self._pooled.get(url, timeout=timeout) as response:
+                return (await response.json()).get("events", [])
+        except (aiohttp.ClientError, TimeoutError, ValueError, AttributeError):
+            return []
+
+    async def call(self, submit):
+        """Run a plain call and return its whole answer.
+
+        Raises:
+            TargetRefusedError: Nothing was sent.
+            TargetCrashedError: The target went away; the call may have run.
+            TargetFailedError: The answer broke off or was too large.
+        """
+        session = self._pooled if submit.key is None else self._fresh
+        headers = {
+            "Content-Type": submit.content_type or "application/json",
+            "Waxwing-Request-Id": submit.request_id,
+            "Waxwing-Customer": submit.customer,
+        }
+        url = f"{self._url}/calls/{submit.call}"
+        try:
+            async with session.post(url, data=submit.body, headers=headers) as response:
+                body = await _read_limited(response)
+                return PlainAnswer(
+                    status=response.status,
+                    content_type=response.headers.get("Content-Type", ""),
+                    body=body,
+                )
+        except aiohttp.ClientConnectorError as error:
+            raise TargetRefusedError(f"the target is not reachable: {error}") from error
+        except aiohttp.ClientError as error:
+            raise await self._explain(error) from error
+
+    async def generate(self, submit):
+        """Yield lists of events of a generated answer, in order, to its end.
+
+        A connection that goes silent is replaced once a probe over a new one
+        shows that the engine has gone on; slow work is left alone.
+
+        Raises:
+            TargetRefusedError: Nothing was sent.
+            TargetCrashedError: The engine went away.
+            TargetFailedError: The engine refused or lost the request.
+        """
+        place = len(submit.given)
+        request = self._start(submit)
+        for _ in range(RESUMES_LIMIT_COUNT):
+            stream = await self._open(request)
+            try:
+                async for events, length in self._read(stream, submit, place):
+                    if events:
+                        place += len(events)
+                        yield events
+                    if length is not None:
+                        _check_length(length, place)
+                        return
+            finally:
+                stream.close()
+            url = f"{self._url}/requests/{submit.request_id}/stream?offset={place}"
+            request = self._pooled.get(url)
+        raise TargetFailedError("the engine's connections keep breaking")
+
+    async def cancel(self, request_id):
+        """Ask the engine to stop a request; failures are of no consequence."""
+        timeout = aiohttp.ClientTimeout(total=PROBE_LIMIT_MS / 1000)
+        url = f"{self._url}/requests/{request_id}"
+        try:
+            async with self._pooled.delete(url, timeout=timeout):
+                pass
+        except (aiohttp.ClientError, TimeoutError):
+            pass
+
+    def _start(self, submit):
+        document = _generate_document(submit)
+        return self._pooled.post(f"{self._url}/generate", json=document)
+
+    async def _open(self, request):
+        try:
+            response = await request
+        except aiohttp.ClientConnectorError as error:
+            raise TargetRefusedError(f"the engine is not reachable: {error}") from error
+        except aiohttp.ClientError as error:
+            raise await self._explain(error) from error
+        if response.status != 200:
+            text = (await response.text())[:200]
+            response.close()
+            raise TargetFailedError(f"the engine answered {response.status}: {text}")
+        return response
+
+    async def _read(self, response, submit, place):
+        """Yield (events, length) pairs; end early if the connection is dead."""
+        parser = EventParser()
+        pending = None
+        try:
+            while True:
+                pending = pending or asyncio.ensure_future(response.content.readany())
+                done, _ = await asyncio.wait({pending}, timeout=self._silence_ms / 1000)
+                if not done:
+                    if await self._has_gone_on(submit.request_id, place):
+                        return
+                    continue
+                data = pending.result()
+                pending = None
+                if not data:
+                    await self._check_known(submit.request_id)
+                    return
+                events, length = parser.feed(data)
+                place += len(events)
+                yield events, length
+                if length is not None:
+                    return
+        except aiohttp.ClientError:
+            await self._check_known(submit.request_id)
+        finally:
+            if pending is not None:
+                pending.cancel()
+
+    async def _has_gone_on(self, request_id, place):
+        """Return whether the engine is ahead of what its connection brought."""
+        try:
+            state = await self._state(request_id)
+        except TargetCrashedError as error:
+            # An engine that does not answer may be paused and come back.
+            if isinstance(error.__cause__, aiohttp.ClientConnectorError):
+                raise
+            return False
+        return state.get("length", 0) > place or state.get("state") == "ended"
+
+    async def _check_known(self, request_id):
+        """Return if the engine still holds the request, so that it can be resumed."""
+        await self._state(request_id)
+
+    async def _state(self, request_id):
+        timeout = aiohttp.ClientTimeout(total=PROBE_LIMIT_MS / 1000)
+        url = f"{self._url}/requests/{request_id}"
+        try:
+            async with self._fresh.get(url, timeout=timeout) as response:
+                if response.status == 404:
+                    raise TargetFailedError("the engine lost the request")
+                return await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise TargetCrashedError(f"the engine is gone: {error!r}") from error
+
+    async def _explain(self, error):
+        """Return the error that a broken connection stands for."""
+        if await self.is_healthy():
+            return TargetFailedError(f"the target broke off: {error!r}")
+        return TargetCrashedError(f"the target went away: {error!r}")
+
+
+class EventParser:
+    """Reads server-sent events of an engine from pieces of any size."""
+
+    def __init__(self):
+        self._rest = b""
+
+    def feed(self, data):
+        """Return the events that ``data`` completes, and the length at the end.
+
+        Raises:
+            TargetFailedError: An event is broken or too large.
+        """
+        blocks = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
+        self._rest = blocks.pop()
+        if len(self._rest) > EVENT_LIMIT_BYTES:
+            raise TargetFailedError("the engine sent an event that is too large")
+        events = []
+        for block in blocks:
+            kind, value = _parse_block(block)
+            if kind == "end":
+                return events, value["length"]
+            if kind == "token":
+                events.append(value)
+        return events, None
+
+
+def _parse_block(block):
+    kind, data = "", b""
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"event":
+            kind = value.decode()
+        elif name == b"data":
+            data += value
+    if not data:
+        return "", None
+    try:
+        return kind or "token", msgspec.json.decode(data)
+    except msgspec.DecodeError as error:
+        raise TargetFailedError(f"the engine sent a broken event: {error}") from error
+
+
+def _generate_document(submit):
+    try:
+        document = msgspec.json.decode(submit.body, type=dict)
+    except msgspec.DecodeError:
+        document = {}
+    return {
+        "request_id": submit.request_id,
+        "prompt": document.get("prompt", ""),
+        "max_tokens": document.get("max_tokens", 64),
+        "priority": submit.priority,
+        "adapter": submit.adapter,
+        "given": list(submit.given),
+    }
+
+
+def _check_length(length, place):
+    if length != place:
+        raise TargetFailedError(f"the engine ended at {length} after {place} events")
+
+
+async def _read_limited(response):
+    body = bytearray()
+    async for piece in response.content.iter_any():
+        body += piece
+        if len(body) > ANSWER_LIMIT_BYTES:
+            raise TargetFailedError(f"the answer exceeds {ANSWER_LIMIT_BYTES} bytes")
+    return bytes(body)
+
+
+def _session(*, force_close):
+    connector = aiohttp.TCPConnector(
+        limit=CONNECTIONS_LIMIT_COUNT, force_close=force_close
+    )
+    timeout = aiohttp.ClientTimeout(total=None, sock_connect=HEALTH_LIMIT_MS / 1000)
+    return aiohttp.ClientSession(connector=connector, timeout=timeout)
--- /dev/null
+++ b/src/waxwinghold/_daemon.py
@@ -0,0 +1,64 @@
+"""The ``waxwingd`` command: one daemon, two roles."""
+
+import asyncio
+import sys
+
+import fire
+import logbook
+
+from ._agent.process import AgentProcess
+from ._clock import Clock
+from ._entry.process import EntryProcess
+from ._errors import WaxwingError
+from ._settings import AgentSettings, EntrySettings, load_settings
+
+LOG_FORMAT = (
+    "{record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} "
+    'logger={record.channel} message="{record.message}"'
+)
+
+
+class Daemon:
+    """Runs one process of waxwinghold.
+
+    Settings are files of JSON with comments; ``docs/CONFIGURATION.md`` lists
+    their keys.
+    """
+
+    def entry(self, settings):
+        """Run an entry: HTTP towards callers.
+
+        Args:
+            settings: Path of the settings file.
+        """
+        _run(EntryProcess, settings, EntrySettings)
+
+    def agent(self, settings):
+        """Run an agent: the process beside a target.
+
+        Args:
+            settings: Path of the settings file.
+        """
+        _run(AgentProcess, settings, AgentSettings)
+
+
+def _run(process_class, path, settings_class):
+    settings = load_settings(path, settings_class)
+    handler = logbook.StreamHandler(
+        sys.stdout, level=settings.log_level, format_string=LOG_FORMAT
+    )
+    with handler.applicationbound():
+        asyncio.run(_run_process(process_class, settings))
+
+
+async def _run_process(process_class, settings):
+    await process_class(clock=Clock(), settings=settings).run()
+
+
+def main():
+    """Run the ``waxwingd`` command."""
+    try:
+        fire.Fire(Daemon, name="waxwingd")
+    except WaxwingError as error:
+        print(f"waxwingd: {error}", file=sys.stderr)
+        sys.exit(error.exit_status)
--- /dev/null
+++ b/src/waxwinghold/_entry/http.py
@@ -0,0 +1,337 @@
+"""The callers' interface over HTTP, as ``docs/CALLERS.md`` describes it."""
+
+import asyncio
+import json
+import math
+
+import logbook
+from aiohttp import web
+
+from .._errors import (
+    BadRequestError,
+    BodyTooLargeError,
+    DrainingError,
+    KeyRequiredError,
+    OverloadedError,
+    RequestError,
+)
+from .._sheet.model import Repeat
+from .._verdict import Ran
+from .callers import CallerHeaders
+from .tokens import read_token
+
+log = logbook.Logger("http")
+
+BODY_READ_LIMIT_MS = 10_000
+MS_PER_SECOND = 1000
+SSE_TYPE = "text/event-stream"
+
+
+def make_app(process):
+    """Return the application that serves callers.
+
+    Args:
+        process: The ``EntryProcess``.
+    """
+    app = web.Application(
+        client_max_size=process.settings.body_limit_bytes,
+        middlewares=[_answer_errors],
+    )
+    callers = CallersInterface(process=process)
+    app.router.add_post("/v1/services/{service}/calls/{call}", callers.call)
+    app.router.add_post("/v1/services/{service}/keys", callers.issue_key)
+    app.router.add_get("/v1/requests/{token}/stream", callers.resume)
+    app.router.add_delete("/v1/requests/{token}", callers.cancel)
+    app.router.add_get("/health", callers.health)
+    return app
+
+
+@web.middleware
+async def _answer_errors(request, handler):
+    try:
+        return await handler(request)
+    except RequestError as error:
+        return error_response(error)
+    except web.HTTPRequestEntityTooLarge as error:
+        return error_response(BodyTooLargeError(limit_bytes=error.max_size))
+
+
+def error_response(error):
+    """Return the HTTP answer of a refusal, with its verdict."""
+    headers = {"Waxwing-Ran": error.ran.value, "Waxwing-Error": error.code}
+    if error.retry_after_ms is not None:
+        seconds = math.ceil(error.retry_after_ms / MS_PER_SECOND)
+        headers["Retry-After"] = str(seconds)
+    return web.json_response(
+        error_document(error), status=error.status, headers=headers
+    )
+
+
+def error_document(error):
+    """Return a refusal as the JSON that callers get."""
+    return {
+        "error": {
+            "code": error.code,
+            "reason": str(error),
+            "ran": error.ran.value,
+            "retry_after_ms": error.retry_after_ms,
+        }
+    }
+
+
+class CallersInterface:
+    """Handles the callers' requests.
+
+    Args:
+        process: The ``EntryProcess``.
+    """
+
+    def __init__(self, *, process):
+        self._process = process
+
+    async def health(self, request):
+        """Tell the platform's balancer whether this entry takes new work."""
+        index = self._process.fleet.index
+        ready = index is not None and not self._process.leaving
+        document = {"ready": ready, "leaving": self._process.leaving}
+        return web.json_response(document, status=200 if ready else 503)
+
+    async def call(self, request):
+        """Serve one call, streamed or not."""
+        headers = _caller_headers(request)
+        index = self._process.require_index()
+        customer, service, call = self._process.admission.check(
+            index,
+            service_name=request.match_info["service"],
+            call_name=request.match_info["call"],
+            headers=headers,
+        )
+        if call.repeat == Repeat.ONCE and not headers.key:
+            # Said before the body is read: a call without a key costs nothing.
+            raise KeyRequiredError(call=call.name, service=service.name)
+        self._check_room(keyed=call.repeat == Repeat.ONCE)
+        with self._process.counting():
+            body = await _read_body(request)
+            admitted = self._process.admission.admit(
+                customer=customer,
+                service=service,
+                call=call,
+                headers=headers,
+                body=body,
+            )
+            attempts = self._process.attempts(admitted)
+            if call.streamed:
+                return await self._stream(request, attempts)
+            return await self._answer(attempts)
+
+    async def issue_key(self, request):
+        """Issue a once-only key that names a healthy target."""
+        headers = _caller_headers(request)
+        index = self._process.require_index()
+        customer = self._process.admission.customer(index, headers)
+        service = self._process.admission.service(
+            index, customer, request.match_info["service"]
+        )
+        self._check_room(keyed=False)
+        with self._process.counting():
+            version = self._process.admission.version(
+                service, customer, headers.version
+            )
+            issued = await self._process.issuer.issue(
+                service=service, version=version, customer=customer
+            )
+        return web.json_response(issued)
+
+    async def resume(self, request):
+        """Send a streamed answer again from an offset, through any entry."""
+        headers = _caller_headers(request)
+        customer = self._process.admission.customer(
+            self._process.require_index(), headers
+        )
+        token = read_token(self._process, request.match_info["token"], customer)
+        offset = _offset(request)
+        with self._process.counting():
+            resumption = self._process.resumption(token, offset)
+            return await self._stream(request, resumption, offset=offset)
+
+    async def cancel(self, request):
+        """Ask for a request to be stopped."""
+        headers = _caller_headers(request)
+        customer = self._process.admission.customer(
+            self._process.require_index(), headers
+        )
+        token = read_token(self._process, request.match_info["token"], customer)
+        self._process.cancel(token)
+        return web.Response(status=202)
+
+    def _check_room(self, *, keyed):
+        # Another entry may have sent the key on: this one cannot say "not run".
+        ran = Ran.MAY_HAVE_RUN if keyed else Ran.NOT_RUN
+        if self._process.leaving:
+            raise DrainingError(
+                "this entry is being stopped; another one serves",
+                ran=ran,
+                retry_after_ms=self._process.retry_after_ms(0),
+            )
+        limit_count = self._process.settings.in_flight_limit_count
+        if self._process.unfinished_count() >= limit_count:
+            raise OverloadedError(
+                f"this entry holds {limit_count} requests already",
+                ran=ran,
+                retry_after_ms=self._process.retry_after_ms(0),
+            )
+
+    async def _answer(self, attempts):
+        try:
+            answer = await attempts.answer()
+        except asyncio.CancelledError:
+            attempts.abandon()
+            raise
+        return web.Response(
+            status=answer.status,
+            body=answer.body,
+            headers={
+                "Content-Type": answer.content_type,
+                "Waxwing-Request": attempts.token(),
+                "Waxwing-Target": attempts.seat.name,
+            },
+        )
+
+    async def _stream(self, request, attempts, *, offset=0):
+        """Pass a streamed answer on; it ends whole or visibly broken."""
+        writer = StreamWriter(
+            request=request,
+            offset=offset,
+            keepalive_ms=self._process.settings.keepalive_interval_ms,
+        )
+        try:
+            await writer.send_all(attempts)
+        except (asyncio.CancelledError, ConnectionError):
+            attempts.abandon()
+            raise
+        except RequestError as error:
+            if not writer.started:
+                raise
+            await writer.break_off(error)
+        return writer.response
+
+
+class StreamWriter:
+    """Writes server-sent events to one caller.
+
+    An event's id is the number of events up to and with it, so that a caller
+    that sends the last id it saw gets what follows.
+
+    Args:
+        offset: The place of the first event.
+        keepalive_ms: Time between comments while there are no events.
+    """
+
+    def __init__(self, *, request, offset, keepalive_ms):
+        self._request = request
+        self._place = offset
+        self._keepalive_ms = keepalive_ms
+        self._seat_name = ""
+        self.response = None
+
+    @property
+    def started(self):
+        """Whether the caller has got the beginning of the answer."""
+        return self.response is not None
+
+    async def send_all(self, attempts):
+        """Send every event and the end.
+
+        Raises:
+            RequestError: The answer cannot be completed.
+        """
+        batches = attempts.stream()
+        pending = None
+        try:
+            while True:
+                pending = pending or asyncio.ensure_future(anext(batches, None))
+                done, _ = await asyncio.wait(
+                    {pending}, timeout=self._keepalive_ms / MS_PER_SECOND
+                )
+                if not done:
+                    await self._keep_alive()
+                    continue
+                batch = pending.result()
+                pending = None
+                if batch is None:
+                    break
+                await self._send_batch(attempts, batch)
+        finally:
+            if pending is not None:
+                pending.cancel()
+                await asyncio.gather(pending, return_exceptions=True)
+            await batches.aclose()
+        await self._start(attempts)
+        await self._write(f'event: end\ndata: {{"length": {self._place}}}\n\n')
+        await self.response.write_eof()
+
+    async def break_off(self, error):
+        """Tell what is known and cut the transfer, so that it looks broken."""
+        document = json.dumps(error_document(error))
+        await self._write(f"event: error\ndata: {document}\n\n")
+        if self._request.transport is not None:
+            # Without the closing chunk no client takes the answer for whole.
+            self._request.transport.close()
+
+    async def _start(self, attempts):
+        if self.started:
+            return
+        response = web.StreamResponse()
+        response.content_type = SSE_TYPE
+        response.headers["Cache-Control"] = "no-store"
+        response.headers["Waxwing-Request"] = attempts.token()
+        response.headers["Waxwing-Target"] = attempts.seat.name
+        self._seat_name = attempts.seat.name
+        await response.prepare(self._request)
+        self.response = response
+
+    async def _send_batch(self, attempts, batch):
+        await self._start(attempts)
+        pieces = []
+        if attempts.seat.name != self._seat_name:
+            self._seat_name = attempts.seat.name
+            token = json.dumps({"request": attempts.token()})
+            pieces.append(f"event: request\ndata: {token}\n\n")
+        for event in batch:
+            self._place += 1
+            pieces.append(f"id: {self._place}\ndata: {json.dumps(event)}\n\n")
+        await self._write("".join(pieces))
+
+    async def _keep_alive(self):
+        if self.started:
+            await self._write(": keep-alive\n\n")
+
+    async def _write(self, text):
+        await self.response.write(text.encode())
+
+
+def _caller_headers(request):
+    return CallerHeaders(
+        customer=request.headers.get("Waxwing-Customer", ""),
+        authorization=request.headers.get("Authorization", ""),
+        version=request.headers.get("Waxwing-Version", ""),
+        adapter=request.headers.get("Waxwing-Adapter", ""),
+        deadline_ms=request.headers.get("Waxwing-Deadline-Ms", ""),
+        key=request.headers.get("Idempotency-Key"),
+        content_type=request.headers.get("Content-Type", ""),
+    )
+
+
+async def _read_body(request):
+    try:
+        async with asyncio.timeout(BODY_READ_LIMIT_MS / MS_PER_SECOND):
+            return await request.read()
+    except TimeoutError:
+        raise BadRequestError("the body did not arrive in time") from None
+
+
+def _offset(request):
+    text = request.query.get("offset") or request.headers.get("Last-Event-ID", "0")
+    if not text.isascii() or not text.isdigit() or len(text) > 9:
+        raise BadRequestError(f'offset: expected a number, got "{text[:32]}"')
+    return int(text)
--- /dev/null
+++ b/src/waxwinghold/_entry/issuing.py
@@ -0,0 +1,63 @@
+"""Issue of once-only keys: each names one healthy target."""
+
+from .._errors import NoTargetError
+from .._keys import OnceKey, random_name
+from .._policy import ChoiceRequest
+
+PROBES_LIMIT_COUNT = 4
+
+
+class KeyIssuer:
+    """Issues keys that name a target which was healthy a moment ago.
+
+    Args:
+        process: The ``EntryProcess``.
+    """
+
+    def __init__(self, *, process):
+        self._process = process
+
+    async def issue(self, *, service, version, customer):
+        """Return the answer to a caller that asked for a key.
+
+        Raises:
+            NoTargetError: No target of the version answers.
+        """
+        seat = await self._healthy_seat(service, version)
+        lifetime_ms = self._process.settings.key_lifetime_ms
+        key = OnceKey(
+            service=service.name,
+            version=version,
+            target=seat.name,
+            incarnation=seat.link.incarnation,
+            customer=customer.name,
+            expiry_ms=int(seat.link.peer_wall_ms()) + lifetime_ms,
+            nonce=random_name(),
+        )
+        return {
+            "key": self._process.mint.sign(key),
+            "target": seat.name,
+            "version": version,
+            "expires_in_ms": lifetime_ms,
+        }
+
+    async def _healthy_seat(self, service, version):
+        """Return a seat whose agent has just found its target healthy."""
+        seats = self._process.fleet.seats_of(service=service.name, version=version)
+        tried = set()
+        for _ in range(PROBES_LIMIT_COUNT):
+            candidates = [seat.candidate for seat in seats.values() if seat.takes_work]
+            chosen = self._process.policy.choose(
+                candidates,
+                request=ChoiceRequest(
+                    data_centre=self._process.settings.data_centre,
+                    tried=frozenset(tried),
+                ),
+                now_ms=self._process.clock.now_ms(),
+            )
+            if chosen is None:
+                break
+            tried.add(chosen.name)
+            if await seats[chosen.name].probe():
+                return seats[chosen.name]
+        raise NoTargetError(service=service.name, version=version)
--- /dev/null
+++ b/src/waxwinghold/_entry/process.py
@@ -0,0 +1,284 @@
+"""The entry: HTTP towards callers, links to agents and other entries."""
+
+import contextlib
+import random
+
+import aiohttp
+import logbook
+from aiohttp import web
+
+from .._errors import NoTargetError
+from .._links import Link
+from .._messages import SheetDelta, SheetFull, SheetPull, SuspectNotice
+from .._policy import (
+    DeadlineAdmission,
+    RetryBudget,
+    ReturnSchedule,
+    make_choice_policy,
+)
+from .._process import Process
+from .._settings import split_ip_port
+from .._sheet.readers import is_reader
+from .._sheet.watching import PlatformWatch
+from .attempts import Attempts
+from .callers import Admission
+from .fleet import Fleet
+from .http import make_app
+from .issuing import KeyIssuer
+from .resumption import Resumption
+from .suspects import Suspects
+
+log = logbook.Logger("entry")
+
+CHOICE_POLICY = "weighed"
+KEEPALIVE_TIMEOUT_S = 75
+SHUTDOWN_LIMIT_S = 1.0
+
+
+class EntryProcess(Process):
+    """Serves callers."""
+
+    role = "entry"
+
+    def __init__(self, *, clock, settings):
+        super().__init__(clock=clock, settings=settings)
+        self.fleet = Fleet(process=self)
+        self.admission = Admission(clock=clock, mint=self.mint)
+        self.issuer = KeyIssuer(process=self)
+        self.suspects = Suspects(clock=clock)
+        self.policy = make_choice_policy(CHOICE_POLICY, rng=random.Random())
+        self.budget = RetryBudget(ratio=settings.retry_budget_ratio)
+        self._returns = ReturnSchedule()
+        self._deadlines = DeadlineAdmission()
+        self._in_flight_count = 0
+        self._peer_links = {}
+        self._session = None
+        self._watch = None
+        self._runner = None
+        self.store.listen(lambda old, new: self.fleet.apply(new))
+        self.spreader.expect([peer.name for peer in settings.peers])
+
+    def require_index(self):
+        """Return the lookups of the sheet in force.
+
+        Raises:
+            NoTargetError: No sheet is known yet.
+        """
+        if self.fleet.index is None:
+            raise NoTargetError(service="any", version="any")
+        return self.fleet.index
+
+    def attempts(self, request):
+        """Return the attempts of a request that was admitted."""
+        self.budget.record_first(now_ms=self.clock.now_ms())
+        return Attempts(process=self, request=request)
+
+    def resumption(self, token, offset):
+        """Return what follows a request that an agent holds."""
+        return Resumption(process=self, token=token, offset=offset)
+
+    def cancel(self, token):
+        """Ask the target that a token names to stop its request."""
+        seat = self.fleet.seats.get(token.target)
+        if seat is not None:
+            seat.cancel(request_id=token.request_id, customer=token.customer)
+
+    @contextlib.contextmanager
+    def counting(self):
+        """Count a caller's request as in flight."""
+        self._in_flight_count += 1
+        try:
+            yield
+        finally:
+            self._in_flight_count -= 1
+
+    def unfinished_count(self):
+        return self._in_flight_count
+
+    def admits(self, *, wait_ms, deadline_in_ms, priority):
+        """Return whether a request may be sent on; see ``DeadlineAdmission``."""
+        return self._deadlines.admits(
+            wait_ms=wait_ms, deadline_in_ms=deadline_in_ms, priority=priority
+        )
+
+    def retry_after_ms(self, at_least_ms):
+        """Return when a refused caller should come back."""
+        scheduled_ms = self._returns.retry_after_ms(now_ms=self.clock.now_ms())
+        return max(at_least_ms, scheduled_ms)
+
+    def note_success(self, request):
+        """Take in that a request got its whole answer."""
+        self._returns.record_completed(now_ms=self.clock.now_ms())
+        notice = self.suspects.note_success(request.digest)
+        if notice is not None:
+            self._tell_peers(notice)
+
+    def note_crash(self, request, *, target, alone):
+        """Take in that a target crashed as it ran a request; tell the others."""
+        notice = self.suspects.note_crash(request.digest, target=target, alone=alone)
+        self.audit.record(
+            what="request.suspected",
+            subject=request.digest,
+            after="condemned" if notice.condemned else "suspect",
+            reason=f"target {target} crashed as it ran the request",
+            by=self.settings.name,
+        )
+        self._tell_peers(notice)
+
+    def tell_leaving(self, message):
+        super().tell_leaving(message)
+        for link in self._peer_links.values():
+            if link.up:
+                link.send(message)
+
+    def make_handler(self):
+        return EntryHandler(process=self)
+
+    async def start_role(self):
+        for peer in self.settings.peers:
+            link = Link(
+                clock=self.clock,
+                context=self.context,
+                settings=self.settings,
+                presence=self.presence,
+                handler=PeerHandler(process=self),
+                name=peer.name,
+                address=peer.address,
+                public_key=peer.public_key,
+            )
+            self._peer_links[peer.name] = link
+            self.spawn(link.run())
+        self._session = aiohttp.ClientSession()
+        self._watch = PlatformWatch(
+            clock=self.clock,
+            store=self.store,
+            url=self.settings.platform_url,
+            wait_ms=self.settings.watch_wait_ms,
+            session=self._session,
+            may_read=self._may_read,
+        )
+        self.spawn(self._watch.run())
+        await self._serve_http()
+
+    async def stop_role(self):
+        await self._runner.cleanup()
+        await self._session.close()
+
+    def status(self):
+        status = super().status()
+        status.update(
+            platform_reads_count=self._watch.reads_count,
+            platform_failures_count=self._watch.failures_count,
+            suspects_count=len(self.suspects),
+            peers_up=sorted(n for n, link in self._peer_links.items() if link.up),
+            targets={
+                name: {
+                    "up": seat.link.up,
+                    "takes_work": seat.takes_work,
+                    "healthy": seat.candidate.healthy,
+                    "in_flight_count": len(seat.in_flight),
+                }
+                for name, seat in self.fleet.seats.items()
+            },
+        )
+        return status
+
+    def _may_read(self):
+        if self.spreader.is_fresh:
+            return False
+        live = [
+            peer.name
+            for peer in self.settings.peers
+            if peer.data_centre == self.settings.data_centre
+            and self._peer_links[peer.name].up
+        ]
+        return is_reader(self.settings.name, live, self.settings.readers_count)
+
+    def _tell_peers(self, message):
+        for link in self._peer_links.values():
+            if link.up:
+                link.send(message)
+
+    async def _serve_http(self):
+        host, port = split_ip_port(self.settings.http_address)
+        self._runner = web.AppRunner(
+            make_app(self),
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=KEEPALIVE_TIMEOUT_S,
+            shutdown_timeout=SHUTDOWN_LIMIT_S,
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+
+
+class PeerHandler:
+    """Handles what comes over the links to other entries.
+
+    Args:
+        process: The ``EntryProcess``.
+    """
+
+    def __init__(self, *, process):
+        self._process = process
+
+    def on_up(self, link):
+        """Tell a peer what it may have missed, and hear which sheet it holds."""
+        self._process.heard(link, link.hello.sheet_version, link.hello.sheet_digest)
+        for notice in self._process.suspects.notices():
+            link.send(notice)
+
+    def on_down(self, link):
+        """Forget what the peer held."""
+        self._process.lost(link)
+
+    def on_heartbeat(self, link, heartbeat):
+        """Take in which sheet the peer holds."""
+        self._process.heard(link, heartbeat.sheet_version, heartbeat.sheet_digest)
+
+    def on_leaving(self, link, message):
+        """Note that another entry leaves."""
+        log.info('entry "{}" is leaving: {}', link.name, message.reason)
+
+    def on_message(self, link, message):
+        """Take in sheets and suspects."""
+        if isinstance(message, SuspectNotice):
+            self._process.suspects.take(message)
+        elif isinstance(message, SheetPull | SheetFull | SheetDelta):
+            self._process.on_sheet_message(link, message)
+
+
+class EntryHandler:
+    """Handles what comes over connections that others opened.
+
+    Args:
+        process: The ``EntryProcess``.
+    """
+
+    def __init__(self, *, process):
+        self._process = process
+
+    def on_connected(self, connection):
+        """Accept a peer; the link in the other direction brings its sheet."""
+        log.debug('"{}" connected', connection.name)
+
+    def on_heartbeat(self, connection, heartbeat):
+        """Do nothing more: the answer has been sent."""
+
+    def on_leaving(self, connection, message):
+        """Note that a peer leaves."""
+        log.info('"{}" is leaving: {}', message.name, message.reason)
+
+    def on_gone(self, connection):
+        """Forget a connection."""
+        log.debug('"{}" is gone', connection.name)
+
+    async def on_message(self, connection, message):
+        """Take in suspects; answer sheet pulls and operators."""
+        if isinstance(message, SuspectNotice):
+            if connection.key.role == "entry":
+                self._process.suspects.take(message)
+        elif isinstance(message, SheetPull):
+            self._process.on_sheet_message(connection, message)
+        else:
+            self._process.on_operator_message(connection, message)
--- /dev/null
+++ b/src/waxwinghold/_entry/tokens.py
@@ -0,0 +1,20 @@
+"""Request tokens as callers present them."""
+
+from .._errors import KeyMismatchError, UnknownRequestError
+from .._keys import BadTokenError, RequestToken
+
+
+def read_token(process, text, customer):
+    """Return the ``RequestToken`` that a customer presents.
+
+    Raises:
+        UnknownRequestError: The token was not issued by this system.
+        KeyMismatchError: It was issued to another customer.
+    """
+    try:
+        token = process.mint.read(text, RequestToken)
+    except BadTokenError as error:
+        raise UnknownRequestError(f"no such request: {error}") from error
+    if token.customer != customer.name:
+        raise KeyMismatchError(what="customer")
+    return token
--- a/src/waxwinghold/_messages/requests.py
+++ b/src/waxwinghold/_messages/requests.py
@@ -134,7 +134,11 @@
     Fields:
         digest: Names the request's content.
         crashes: Names of the target incarnations that crashed under it.
+        condemned: Whether it was alone on a target that crashed.
+        cleared: Whether it has since run to its end.
     """
 
     digest: str
     crashes: tuple[str, ...]
+    condemned: bool = False
+    cleared: bool = False
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -110,10 +110,9 @@
 
 @dataclass(frozen=True, kw_only=True)
 class AgentSettings(ProcessSettings):
-    """Settings of ``waxwingd agent``.
+    """Settings of ``waxwingd agent``; ``name`` is its target's name in the sheet.
 
     Args:
-        target: The target's name in the sheet.
         target_url: The engine or plain service, ``http://IP:PORT``.
         queue_limit_count: Requests that may wait for the target.
         ledger_limit_bytes: Memory for recorded answers of once-only calls.
@@ -123,7 +122,6 @@
         pause_limit_ms: Jump of monotonic time that counts as a pause.
     """
 
-    target: str
     target_url: str
     queue_limit_count: int = 1024
     ledger_limit_bytes: int = 32 * 1024 * 1024
@@ -205,7 +203,7 @@
         return None if good else f"secrets of {SECRET_LENGTH_MIN} characters or more"
     if name == "role":
         return None if value in ("entry", "agent", "operator") else "a known role"
-    if name in ("name", "data_centre", "target"):
+    if name in ("name", "data_centre"):
         good = re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", value)
         return None if good else "a name of letters, digits, '.', '_' and '-'"
     if name.endswith(("_ms", "_count", "_bytes")) and value <= 0:
