--- /dev/null
+++ b/src/waxwinghold/_sheet/index.py
@@ -0,0 +1,43 @@
+"""Lookups over one sheet, made once."""
+
+import collections
+from dataclasses import dataclass
+from typing import Mapping
+
+from .model import Customer, Group, Model, Service, Sheet, Target
+from .tables import rows_by_name
+
+
+@dataclass(frozen=True, kw_only=True)
+class SheetIndex:
+    """The rows of a sheet by name, and targets by what they serve."""
+
+    sheet: Sheet
+    services: Mapping[str, Service]
+    models: Mapping[str, Model]
+    groups: Mapping[str, Group]
+    targets: Mapping[str, Target]
+    customers: Mapping[str, Customer]
+    targets_by_service: Mapping[str, tuple[Target, ...]]
+    targets_by_group: Mapping[str, tuple[Target, ...]]
+
+
+def index_sheet(sheet):
+    """Return the ``SheetIndex`` of ``sheet``."""
+    return SheetIndex(
+        sheet=sheet,
+        services=rows_by_name(sheet, "services"),
+        models=rows_by_name(sheet, "models"),
+        groups=rows_by_name(sheet, "groups"),
+        targets=rows_by_name(sheet, "targets"),
+        customers=rows_by_name(sheet, "customers"),
+        targets_by_service=_targets_by(sheet, "service"),
+        targets_by_group=_targets_by(sheet, "group"),
+    )
+
+
+def _targets_by(sheet, column):
+    found = collections.defaultdict(list)
+    for target in sheet.targets:
+        found[getattr(target, column)].append(target)
+    return {name: tuple(targets) for name, targets in found.items()}
--- /dev/null
+++ b/src/waxwinghold/_sheet/reading.py
@@ -0,0 +1,90 @@
+"""Reading and writing sheets as JSON, and their digests."""
+
+import hashlib
+import re
+from pathlib import Path
+
+import json5
+import msgspec
+
+from .._convert import ConversionError, convert
+from .._errors import SheetError
+from .model import Sheet
+from .tables import sheet_document
+
+DIGEST_LENGTH = 16
+
+
+def read_sheet(document, *, with_comments=True):
+    """Return the sheet that ``document`` holds; its rules are not checked.
+
+    Args:
+        document: Bytes or text of JSON.
+        with_comments: Whether to fall back to JSON with comments. Its parser
+            is slow: files only, never what arrives over a network.
+
+    Raises:
+        SheetError: The document is no JSON, or a value has the wrong type.
+    """
+    decoded = _decode(document, with_comments=with_comments)
+    if not isinstance(decoded, dict):
+        raise SheetError(table="(sheet)", row="(top)", reason="expected an object")
+    try:
+        return convert(decoded, Sheet)
+    except ConversionError as error:
+        raise _sheet_error(error, decoded) from error
+
+
+def read_sheet_file(path):
+    """Return the sheet in the file at ``path``, JSON with comments.
+
+    Raises:
+        SheetError: The file cannot be read or holds no sheet.
+    """
+    try:
+        document = Path(path).read_bytes()
+    except OSError as error:
+        reason = f"file cannot be read ({error.strerror})"
+        raise SheetError(table="(sheet)", row=str(path), reason=reason) from error
+    return read_sheet(document)
+
+
+def write_sheet(sheet):
+    """Return ``sheet`` as canonical JSON: equal sheets give equal bytes."""
+    return msgspec.json.encode(sheet_document(sheet), order="sorted")
+
+
+def sheet_digest(sheet):
+    """Return a short hexadecimal digest of the sheet's canonical JSON."""
+    return hashlib.sha256(write_sheet(sheet)).hexdigest()[:DIGEST_LENGTH]
+
+
+def _decode(document, *, with_comments):
+    try:
+        return msgspec.json.decode(document)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        if not with_comments:
+            reason = f"no JSON ({error})"
+            raise SheetError(table="(sheet)", row="(top)", reason=reason) from error
+    try:
+        text = document if isinstance(document, str) else document.decode()
+        return json5.loads(text)
+    except (ValueError, RecursionError) as error:
+        reason = f"no JSON with comments ({error})"
+        raise SheetError(table="(sheet)", row="(top)", reason=reason) from error
+
+
+def _sheet_error(error, decoded):
+    """Return a conversion error with the table and row that it stands for."""
+    match = re.match(r"(\w+)\[(\d+)\]\.?(.*)", error.path)
+    if match is None:
+        reason = f"expected {error.expected}"
+        return SheetError(table="(sheet)", row=error.path, reason=reason)
+    table, index, column = match.groups()
+    row = decoded[table][int(index)]
+    name = row.get("name") if isinstance(row, dict) else None
+    label = name if isinstance(name, str) else f"number {int(index) + 1}"
+    where = f'column "{column}": ' if column else ""
+    return SheetError(
+        table=table, row=label, reason=f"{where}expected {error.expected}"
+    )
