Notice a refused connection at once

The stop's reason was bound late and always said SIGINT, and a reader was left on a closed socket. Ruled out: the fresh-process rule, whose votes were complete. Conclusion: monitors are attached before connecting.

--- a/src/waxwinghold/_daemon.py
+++ b/src/waxwinghold/_daemon.py
@@ -1,6 +1,7 @@
 """The ``waxwingd`` command: one daemon, two roles."""
 
 import asyncio
+import signal
 import sys
 
 import fire
@@ -52,7 +53,15 @@
 
 
 async def _run_process(process_class, settings):
-    await process_class(clock=Clock(), settings=settings).run()
+    process = process_class(clock=Clock(), settings=settings)
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, _drain, process, number)
+    await process.run()
+
+
+def _drain(process, number):
+    process.drain(reason=signal.Signals(number).name, by="host")
 
 
 def main():
--- a/src/waxwinghold/_links/client.py
+++ b/src/waxwinghold/_links/client.py
@@ -24,6 +24,13 @@
 RECONNECT_INTERVAL_MS = 250
 NO_RECONNECT = -1
 OFFSETS_KEPT_COUNT = 8
+CONNECTION_ENDED_EVENTS = (
+    zmq.EVENT_DISCONNECTED
+    | zmq.EVENT_CLOSED
+    | zmq.EVENT_CONNECT_RETRIED
+    | zmq.EVENT_HANDSHAKE_FAILED_AUTH
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+)
 
 
 class Link:
@@ -101,8 +108,8 @@
 
     async def _run_connection(self):
         """Open a connection, use it until it fails, and replace it if silent."""
-        socket = self._open()
-        watcher = asyncio.create_task(_wait_for_disconnect(socket))
+        socket, monitor = self._open()
+        watcher = asyncio.create_task(recv_monitor_message(monitor))
         reader = asyncio.create_task(self._read(socket))
         beater = asyncio.create_task(self._beat(socket))
         try:
@@ -115,6 +122,8 @@
         finally:
             for task in (watcher, reader, beater):
                 task.cancel()
+            # A reader that still waits must not find its socket closed.
+            await asyncio.gather(watcher, reader, beater, return_exceptions=True)
             if self._socket is socket:
                 self._drop()
             socket.disable_monitor()
@@ -127,9 +136,11 @@
         socket.reconnect_ivl = NO_RECONNECT
         socket.sndhwm = 0
         secure_client(socket, self._settings, self.public_key)
+        # Before connecting: a refused connection is reported at once.
+        monitor = socket.get_monitor_socket(CONNECTION_ENDED_EVENTS)
         socket.connect(self.address)
         socket.send(encode(self._presence.hello()))
-        return socket
+        return socket, monitor
 
     def _drop(self):
         if self._socket is None:
@@ -199,19 +210,6 @@
             await socket.send(encode(heartbeat))
 
 
-async def _wait_for_disconnect(socket):
-    """Return when the socket's one connection has closed or could not open."""
-    events = (
-        zmq.EVENT_DISCONNECTED
-        | zmq.EVENT_CLOSED
-        | zmq.EVENT_CONNECT_RETRIED
-        | zmq.EVENT_HANDSHAKE_FAILED_AUTH
-        | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
-    )
-    monitor = socket.get_monitor_socket(events)
-    await recv_monitor_message(monitor)
-
-
 def _consume_error(future):
     if not future.cancelled():
         future.exception()
--- a/src/waxwinghold/_process.py
+++ b/src/waxwinghold/_process.py
@@ -1,7 +1,6 @@
 """What an entry and an agent have in common: links, sheet, audit, stopping."""
 
 import asyncio
-import signal
 
 import logbook
 import msgspec
@@ -108,7 +107,6 @@
 
     async def run(self):
         """Run until drained."""
-        self._handle_signals()
         self.context = zmq.asyncio.Context()
         authenticator = start_authenticator(self.context, self.key_ring)
         self.server = LinkServer(
@@ -218,12 +216,6 @@
         while self.unfinished_count() and self.clock.now_ms() < limit_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
 
-    def _handle_signals(self):
-        loop = asyncio.get_running_loop()
-        for number in (signal.SIGTERM, signal.SIGINT):
-            name = signal.Signals(number).name
-            loop.add_signal_handler(number, lambda: self.drain(reason=name, by="host"))
-
     def _task_done(self, task):
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
