--- a/src/waxwinghold/_sheet/row_rules.py
+++ b/src/waxwinghold/_sheet/row_rules.py
@@ -7,7 +7,7 @@
 from .._errors import SheetError
 from .._settings import Z85_KEY_LENGTH, is_link_address
 from .model import Kind
-from .rules import repeated, rule
+from .rules import repeated, row_rule, rule
 from .tables import ROW_TYPES
 
 NAME_PATTERN = re.compile(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}")
@@ -92,15 +92,9 @@
     return None if value > 0 else "must be above 0"
 
 
-@rule
-def calls_are_sound(index):
+@row_rule("services")
+def calls_are_sound(service, index):
     """A service has calls, each named once; only models stream."""
-    for service in index.sheet.services:
-        for reason in _call_problems(service):
-            yield SheetError(table="services", row=service.name, reason=reason)
-
-
-def _call_problems(service):
     if not service.calls:
         yield "has no calls"
     for name in repeated(call.name for call in service.calls):
@@ -112,28 +106,19 @@
             yield f'call "{call.name}" of a plain service cannot be streamed'
 
 
-@rule
-def shares_add_up(index):
+@row_rule("services")
+def shares_add_up(service, index):
     """The shares of a service's versions make 100 percent."""
-    for service in index.sheet.services:
-        for version in repeated(share.version for share in service.versions):
-            reason = f'version "{version}" occurs twice'
-            yield SheetError(table="services", row=service.name, reason=reason)
-        total = sum(share.share_percent for share in service.versions)
-        if abs(total - SHARES_TOTAL_PERCENT) > SHARES_TOLERANCE_PERCENT:
-            reason = f"the shares of its versions add up to {total:g}, not to 100"
-            yield SheetError(table="services", row=service.name, reason=reason)
+    for version in repeated(share.version for share in service.versions):
+        yield f'version "{version}" occurs twice'
+    total = sum(share.share_percent for share in service.versions)
+    if abs(total - SHARES_TOTAL_PERCENT) > SHARES_TOLERANCE_PERCENT:
+        yield f"the shares of its versions add up to {total:g}, not to 100"
 
 
-@rule
-def models_are_sound(index):
+@row_rule("models")
+def models_are_sound(model, index):
     """A model has versions, and experts come with layers and a size."""
-    for model in index.sheet.models:
-        for reason in _model_problems(model):
-            yield SheetError(table="models", row=model.name, reason=reason)
-
-
-def _model_problems(model):
     if not model.versions:
         yield "has no versions"
     for version in repeated(version.version for version in model.versions):
@@ -145,34 +130,39 @@
         yield "has experts but no layers_count or no expert_bytes"
 
 
-@rule
-def addresses_and_keys_are_valid(index):
-    """Each target has a link address of its own and a CURVE key."""
-    for target in index.sheet.targets:
-        if not is_link_address(target.agent_address):
-            reason = f'agent_address "{target.agent_address}" is not tcp://IP:PORT'
-            yield SheetError(table="targets", row=target.name, reason=reason)
-        if not _is_z85_key(target.agent_public_key):
-            reason = f"agent_public_key is not {Z85_KEY_LENGTH} characters of Z85"
-            yield SheetError(table="targets", row=target.name, reason=reason)
-    for address in repeated(target.agent_address for target in index.sheet.targets):
-        rows = [row for row in index.sheet.targets if row.agent_address == address]
-        reason = f'agent_address "{address}" is that of "{rows[0].name}" too'
-        yield SheetError(table="targets", row=rows[-1].name, reason=reason)
+@row_rule("targets")
+def addresses_and_keys_are_valid(target, index):
+    """Each target has a link address and a CURVE key."""
+    if not is_link_address(target.agent_address):
+        yield f'agent_address "{target.agent_address}" is not tcp://IP:PORT'
+    key = target.agent_public_key
+    if len(key) != Z85_KEY_LENGTH or not Z85_PATTERN.fullmatch(key):
+        yield f"agent_public_key is not {Z85_KEY_LENGTH} characters of Z85"
 
 
-def _is_z85_key(text):
-    return len(text) == Z85_KEY_LENGTH and Z85_PATTERN.fullmatch(text) is not None
+@row_rule("customers")
+def tokens_are_hashed(customer, index):
+    """A customer's token is given as its SHA-256 only."""
+    if not TOKEN_PATTERN.fullmatch(customer.token_sha256):
+        yield "token_sha256 is not 64 lower-case hexadecimal digits"
+
+
+@rule
+def addresses_are_not_shared(index):
+    """No two targets have one address."""
+    return _shared_values(index.sheet, "targets", "agent_address")
 
 
 @rule
-def tokens_tell_customers_apart(index):
-    """Each customer's token is a SHA-256 that no other customer has."""
-    for customer in index.sheet.customers:
-        if not TOKEN_PATTERN.fullmatch(customer.token_sha256):
-            reason = "token_sha256 is not 64 lower-case hexadecimal digits"
-            yield SheetError(table="customers", row=customer.name, reason=reason)
-    for token in repeated(row.token_sha256 for row in index.sheet.customers):
-        rows = [row for row in index.sheet.customers if row.token_sha256 == token]
-        reason = f'token_sha256 is that of "{rows[0].name}" too'
-        yield SheetError(table="customers", row=rows[-1].name, reason=reason)
+def tokens_are_not_shared(index):
+    """No two customers have one token, which is what tells them apart."""
+    return _shared_values(index.sheet, "customers", "token_sha256")
+
+
+def _shared_values(sheet, table, column):
+    first_rows = {}
+    for row in getattr(sheet, table):
+        first = first_rows.setdefault(getattr(row, column), row)
+        if first is not row:
+            reason = f'{column} is that of "{first.name}" too'
+            yield SheetError(table=table, row=row.name, reason=reason)
--- a/src/waxwinghold/_sheet/rules.py
+++ b/src/waxwinghold/_sheet/rules.py
@@ -2,6 +2,8 @@
 
 import collections
 
+from .._errors import SheetError
+
 RULES = []
 
 
@@ -11,6 +13,25 @@
     return function
 
 
+def row_rule(table):
+    """Register a rule on single rows of ``table``.
+
+    The decorated function takes a row and the ``SheetIndex`` and yields what
+    is wrong with the row, as text.
+    """
+
+    def register(function):
+        @rule
+        def check_rows(index):
+            for row in getattr(index.sheet, table):
+                for reason in function(row, index):
+                    yield SheetError(table=table, row=row.name, reason=reason)
+
+        return function
+
+    return register
+
+
 def repeated(values):
     """Return the values that occur more than once."""
     counts = collections.Counter(values)
