--- a/src/waxwinghold_standins/_http.py
+++ b/src/waxwinghold_standins/_http.py
@@ -72,18 +72,20 @@
     def silence(self):
         """Let every connection that is open now carry nothing more."""
         self._silenced.update(self._connections())
+        self._silenced = {item for item in self._silenced if item.transport}
 
-    def crash(self):
-        """End at once, as a killed process would."""
+    async def crash(self):
+        """End at once, as a killed process would: nothing more is sent."""
         if self._exits_on_crash:
             os._exit(CRASH_EXIT_STATUS)
         self.crashes_count += 1
+        if self._runner is None:
+            return
+        for site in list(self._runner.sites):
+            await site.stop()
         for connection in self._connections():
             if connection.transport is not None:
                 connection.transport.abort()
-        if self._runner is not None:
-            for site in list(self._runner.sites):
-                site._server.close()
 
     async def pass_line(self, request):
         """Return if the request's connection may carry bytes; else never."""
@@ -91,9 +93,8 @@
             return
         if request.path.startswith(CONTROL_PATH):
             return
-        while request.transport is not None and not request.transport.is_closing():
+        while is_open(request):
             await self.clock.sleep_ms(SILENCE_POLL_MS)
-        self._silenced.discard(request.protocol)
         raise ConnectionResetError("the silenced connection was closed")
 
     def _connections(self):
@@ -103,12 +104,21 @@
 
     @web.middleware
     async def _guard(self, request, handler):
-        await self.pass_line(request)
-        response = await handler(request)
-        await self.pass_line(request)
+        try:
+            await self.pass_line(request)
+            response = await handler(request)
+            await self.pass_line(request)
+        except ConnectionError:
+            abort(request)
+            return web.Response()
         return response
 
 
+def is_open(request):
+    """Return whether the request's connection still stands."""
+    return request.transport is not None and not request.transport.is_closing()
+
+
 def abort(request):
     """Break the request's connection, so that its caller sees a cut answer."""
     if request.transport is not None:
@@ -124,11 +134,16 @@
 
 
 async def _serve_until_ended(standin, address):
+    host, port = split_ip_port(address)
+    async with standin.serving(host=host, port=port) as url:
+        await until_ended(url)
+
+
+async def until_ended(*urls):
+    """Print the ready line and wait for SIGTERM or SIGINT."""
     ended = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, ended.set)
-    host, port = split_ip_port(address)
-    async with standin.serving(host=host, port=port) as url:
-        print(f"ready {url}", flush=True)
-        await ended.wait()
+    print("ready", *urls, flush=True)
+    await ended.wait()
--- a/src/waxwinghold_standins/_steps.py
+++ b/src/waxwinghold_standins/_steps.py
@@ -58,6 +58,15 @@
         task.cancel()
         await asyncio.gather(task, return_exceptions=True)
 
+    def lose(self, rank):
+        """Take out a rank that went down; no step runs until it is replaced."""
+        self.ranks = [None if item is rank else item for item in self.ranks]
+
+    def replace(self, place, rank):
+        """Put a fresh rank in the place of a lost one."""
+        self.ranks[place] = rank
+        self.wake()
+
     def wake(self):
         """Look again at what may run: work, an order or a fault came."""
         self._changed.set()
@@ -80,10 +89,12 @@
     async def _run(self):
         while True:
             await self._until_next()
+            begun_by = list(self.ranks)
             duration_ms = self._begin()
             await self._sleep(duration_ms)
-            await self._until(self._none_stalled)
-            self._end(duration_ms)
+            await self._until(lambda: self._may_end(begun_by))
+            if self.ranks == begun_by:
+                self._end(duration_ms)
 
     async def _until_next(self):
         if not self.wanted:
@@ -102,8 +113,10 @@
             rank is not None and rank.may_step(step) for rank in self.ranks
         )
 
-    def _none_stalled(self):
-        return all(rank is not None and not rank.faults.stalled for rank in self.ranks)
+    def _may_end(self, begun_by):
+        """A step that lost a rank ends without effect and is run again."""
+        lost = self.ranks != begun_by
+        return lost or not any(rank.faults.stalled for rank in self.ranks)
 
     def _begin(self):
         step = self.step + 1
--- a/src/waxwinghold_standins/engine.py
+++ b/src/waxwinghold_standins/engine.py
@@ -62,6 +62,12 @@
             load_expert_ms=load_expert_ms,
         )
 
+    async def crash(self):
+        """End at once; a lock-step group cannot step without this rank."""
+        if not self._exits_on_crash:
+            self.steps.lose(self.rank)
+        await super().crash()
+
     async def start(self, **address):
         await super().start(**address)
         if self._owns_steps:
@@ -90,7 +96,7 @@
             raise bad_request(f'adapter "{generation.adapter}" is not loaded')
         marker = self.rank.faults.crash_marker
         if marker and marker in generation.prompt:
-            self.crash()
+            await self.crash()
             raise ConnectionResetError("crashed")
         request_id = generation.request_id
         known = self.rank.generations.get(request_id)
--- /dev/null
+++ b/src/waxwinghold_standins/lock_step.py
@@ -0,0 +1,111 @@
+"""A group of ranks that run in lock-step on an expert map, in one process."""
+
+import asyncio
+import contextlib
+
+import fire
+
+from waxwinghold import Clock
+from waxwinghold._settings import split_ip_port
+
+from ._http import until_ended
+from ._steps import Steps
+from .engine import Engine
+
+
+class LockStepGroup:
+    """Ranks with an engine URL each, of which no one steps alone.
+
+    Every step is recorded with the expert map of each rank; see
+    ``mixed_steps`` and ``GET /steps`` on any rank.
+
+    Args:
+        ranks_count: Ranks of the group.
+        steps_when_idle: Whether steps go on without work.
+        engine_options: Options of each ``Engine``.
+    """
+
+    def __init__(
+        self, *, ranks_count, steps_when_idle=True, clock=None, **engine_options
+    ):
+        self.clock = clock or Clock()
+        self.steps = Steps(ranks=(), clock=self.clock, steps_when_idle=steps_when_idle)
+        self._engine_options = engine_options
+        self.engines = [self._engine() for _ in range(ranks_count)]
+        self.steps.ranks = [engine.rank for engine in self.engines]
+
+    @property
+    def urls(self):
+        """The URL of each rank's engine."""
+        return [engine.url for engine in self.engines]
+
+    @property
+    def mixed_steps(self):
+        """Records of the steps in which ranks used different maps."""
+        return [record for record in self.steps.records if record.is_mixed]
+
+    async def start(self, *, host="127.0.0.1", ports=None):
+        """Serve each rank on a port of its own; by default on free ones."""
+        ports = ports or [0] * len(self.engines)
+        for engine, port in zip(self.engines, ports, strict=True):
+            await engine.start(host=host, port=port)
+        self.steps.start()
+
+    async def stop(self):
+        """Run no further step and stop every rank."""
+        await self.steps.stop()
+        for engine in self.engines:
+            await engine.stop()
+
+    @contextlib.asynccontextmanager
+    async def serving(self, **addresses):
+        """Serve for the length of an ``async with`` block; gives the URLs."""
+        await self.start(**addresses)
+        try:
+            yield self.urls
+        finally:
+            await self.stop()
+
+    async def kill_rank(self, place):
+        """Let the rank at ``place`` die at once; the group stalls."""
+        await self.engines[place].crash()
+
+    async def replace_rank(self, place):
+        """Start a fresh engine, which knows no expert map, at a dead rank's URL.
+
+        It takes part in steps once it has been told a map.
+        """
+        host, port = split_ip_port(self.engines[place].url.removeprefix("http://"))
+        await self.engines[place].stop()
+        engine = self._engine(map_id=None)
+        self.engines[place] = engine
+        await engine.start(host=host, port=port)
+        self.steps.replace(place, engine.rank)
+
+    def _engine(self, **options):
+        return Engine(
+            steps=self.steps, clock=self.clock, **self._engine_options | options
+        )
+
+
+async def _serve(group, host, ports):
+    async with group.serving(host=host, ports=ports) as urls:
+        await until_ended(*urls)
+
+
+def serve(*, addresses, model_version="v1", **options):
+    """Serve a lock-step group until SIGTERM.
+
+    Args:
+        addresses: ``IP:PORT`` of each rank, separated by commas; one IP number.
+        model_version: The model version at the start.
+        options: Options of ``Engine`` and ``Rank``.
+    """
+    names = addresses.split(",") if isinstance(addresses, str) else addresses
+    pairs = [split_ip_port(name) for name in names]
+    group = LockStepGroup(ranks_count=len(pairs), version=str(model_version), **options)
+    asyncio.run(_serve(group, pairs[0][0], [port for _, port in pairs]))
+
+
+if __name__ == "__main__":
+    fire.Fire(serve)
--- a/src/waxwinghold_standins/service.py
+++ b/src/waxwinghold_standins/service.py
@@ -42,7 +42,7 @@
         body = await request.read()
         marker = self.faults.crash_marker
         if marker and marker.encode() in body:
-            self.crash()
+            await self.crash()
             raise ConnectionResetError("crashed")
         await self._work()
         call = request.match_info["call"]
