Count subtests rightly in the closing line

Cause: nose2 reports each subtest as an outcome of its own, passed ones too; the counter took three passed subtests for failures. Ruled out: real failures; nose2's own result was OK. Conclusion: the closing line follows the exceptions.

--- a/tests/known_red.py
+++ b/tests/known_red.py
@@ -38,26 +38,27 @@
 
     def setTestOutcome(self, event):
         """Turn the outcome of a recorded test round."""
-        name = event.test.id()
+        name = getattr(event.test, "test_case", event.test).id()
         if name not in self.known:
             return
-        if event.outcome in ("failed", "error"):
+        if _has_failed(event):
             event.outcome = "passed"
+            event.exc_info = None
             event.expected = True
-            self.met.append(name)
+            self.met.append(f"{name} | {self.known[name]}")
         elif event.outcome == "passed":
             event.outcome = "failed"
             event.expected = False
-            self.met.append(f"{name} (passes now: remove it from KNOWN-RED.txt)")
+            self.met.append(f"{name} | passes now: remove it from KNOWN-RED.txt")
 
     def testOutcome(self, event):
-        """Count one outcome, subtests included."""
+        """Count one outcome; of subtests only those that failed."""
         if event.outcome == "skipped":
             self.skipped_count += 1
-        elif event.outcome == "passed" and event.expected:
-            self.passed_count += 1
-        else:
+        elif _has_failed(event) or not event.expected:
             self.failed_count += 1
+        elif event.outcome != "subtest":
+            self.passed_count += 1
 
     def afterSummaryReport(self, event):
         """Print the recorded failures met and the closing line."""
@@ -67,3 +68,9 @@
         if self.skipped_count:
             line += f", {self.skipped_count} skipped"
         event.stream.writeln(line)
+
+
+def _has_failed(event):
+    if event.outcome == "subtest":
+        return event.exc_info is not None
+    return event.outcome in ("failed", "error")
--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,46 @@
+"""The closing line counts real results, and recorded failures stay visible."""
+
+import types
+import unittest
+
+from tests.known_red import KnownRed
+
+
+def outcome(name, kind, *, error=None, expected=True):
+    """Return an outcome event as nose2 makes it."""
+    test = types.SimpleNamespace(id=lambda: name)
+    return types.SimpleNamespace(
+        test=test, outcome=kind, exc_info=error, expected=expected
+    )
+
+
+class KnownRedTests(unittest.TestCase):
+    def setUp(self):
+        self.plugin = KnownRed.__new__(KnownRed)
+        self.plugin.known = {"t.recorded": "seen on seed 7"}
+        self.plugin.passed_count = 0
+        self.plugin.failed_count = 0
+        self.plugin.skipped_count = 0
+        self.plugin.met = []
+
+    def meet(self, event):
+        self.plugin.setTestOutcome(event)
+        self.plugin.testOutcome(event)
+        return self.plugin.passed_count, self.plugin.failed_count
+
+    def test_a_failure_that_is_not_recorded_fails(self):
+        event = outcome("t.other", "failed", error=("e",), expected=False)
+        self.assertEqual(self.meet(event), (0, 1))
+
+    def test_a_recorded_failure_passes_and_is_printed(self):
+        event = outcome("t.recorded", "failed", error=("e",), expected=False)
+        self.assertEqual(self.meet(event), (1, 0))
+        self.assertIn("seen on seed 7", self.plugin.met[0])
+
+    def test_a_recorded_test_that_passes_fails(self):
+        self.assertEqual(self.meet(outcome("t.recorded", "passed")), (0, 1))
+
+    def test_a_failing_subtest_counts_and_a_passing_one_does_not(self):
+        self.assertEqual(self.meet(outcome("t.other", "subtest")), (0, 0))
+        event = outcome("t.other", "subtest", error=("e",))
+        self.assertEqual(self.meet(event), (0, 1))
