Add metrics, links to listed entries, and news sent at once

Cause: hosts are replaced at any time, so the peers of the settings grow old; a new sheet waited for the next heartbeat; nothing was measured. Ruled out: a link to every listed entry, which grows with the fleet; a bounded number is chosen by rendezvous hashing. Before: peers only from settings.

--- a/src/waxwinghold/_agent/process.py
+++ b/src/waxwinghold/_agent/process.py
@@ -64,6 +64,7 @@
             ledger=self.ledger,
             client=self.client,
             monitor=self.monitor,
+            metrics=self.metrics,
             slots_count=self.slots_count,
             kind=self.kind,
         )
--- a/src/waxwinghold/_agent/runner.py
+++ b/src/waxwinghold/_agent/runner.py
@@ -27,16 +27,20 @@
         ledger: The ledger of once-only keys.
         client: The ``TargetClient``.
         monitor: The ``TargetMonitor``; hears at once of a target that failed.
+        metrics: The process's ``Metrics``.
         slots_count: Returns how many requests may run at once.
         kind: Returns the target's ``Kind``.
     """
 
-    def __init__(self, *, clock, queue, ledger, client, monitor, slots_count, kind):
+    def __init__(
+        self, *, clock, queue, ledger, client, monitor, metrics, slots_count, kind
+    ):
         self._clock = clock
         self._queue = queue
         self._ledger = ledger
         self._client = client
         self._monitor = monitor
+        self._metrics = metrics
         self._slots_count = slots_count
         self._kind = kind
         self._running = set()
@@ -71,6 +75,7 @@
         if work.key is not None:
             decision = self._ledger.refuse(work.key.nonce, verdict)
             verdict = decision.verdict or verdict
+        self._metrics.count("refusals", label=verdict.code)
         work.end_with_verdict(verdict, now_ms=self._clock.now_ms())
 
     def cancel(self, work):
@@ -117,6 +122,7 @@
         if work.phase == Phase.ENDED:
             return
         self.queue_wait_ms = self._clock.now_ms() - work.arrived_ms
+        self._metrics.record_ms("queue_wait", self.queue_wait_ms)
         self._alone = work.submit.suspect
         self._running.add(work)
         work.task = asyncio.create_task(self._run(work))
--- a/src/waxwinghold/_entry/fleet.py
+++ b/src/waxwinghold/_entry/fleet.py
@@ -47,6 +47,11 @@
         for name, seat in self.seats.items():
             seat.listed_leaving = states.get(name) == "leaving"
 
+    def beat(self):
+        """Send a heartbeat on every link at once."""
+        for seat in self.seats.values():
+            seat.link.beat()
+
     def _retire(self, seat):
         limit_ms = self._process.settings.drain_limit_ms
         self._process.spawn(seat.retire(limit_ms=limit_ms))
--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -33,11 +33,11 @@
     Args:
         process: The ``EntryProcess``.
     """
+    callers = CallersInterface(process=process)
     app = web.Application(
         client_max_size=process.settings.body_limit_bytes,
-        middlewares=[_answer_errors],
+        middlewares=[callers.answer_errors],
     )
-    callers = CallersInterface(process=process)
     app.router.add_post("/v1/services/{service}/calls/{call}", callers.call)
     app.router.add_post("/v1/services/{service}/keys", callers.issue_key)
     app.router.add_get("/v1/requests/{token}/stream", callers.resume)
@@ -46,16 +46,6 @@
     return app
 
 
-@web.middleware
-async def _answer_errors(request, handler):
-    try:
-        return await handler(request)
-    except RequestError as error:
-        return error_response(error)
-    except web.HTTPRequestEntityTooLarge as error:
-        return error_response(BodyTooLargeError(limit_bytes=error.max_size))
-
-
 def error_response(error):
     """Return the HTTP answer of a refusal, with its verdict."""
     headers = {"Waxwing-Ran": error.ran.value, "Waxwing-Error": error.code}
@@ -89,6 +79,19 @@
     def __init__(self, *, process):
         self._process = process
 
+    @web.middleware
+    async def answer_errors(self, request, handler):
+        """Turn refusals into answers with verdicts, and count them."""
+        try:
+            return await handler(request)
+        except RequestError as error:
+            self._process.metrics.count("refusals", label=error.code)
+            return error_response(error)
+        except web.HTTPRequestEntityTooLarge as error:
+            refusal = BodyTooLargeError(limit_bytes=error.max_size)
+            self._process.metrics.count("refusals", label=refusal.code)
+            return error_response(refusal)
+
     async def health(self, request):
         """Tell the platform's balancer whether this entry takes new work."""
         index = self._process.fleet.index
@@ -182,11 +185,14 @@
             )
 
     async def _answer(self, attempts):
+        started_ms = self._process.clock.now_ms()
         try:
             answer = await attempts.answer()
         except asyncio.CancelledError:
             attempts.abandon()
             raise
+        elapsed_ms = self._process.clock.now_ms() - started_ms
+        self._process.metrics.record_ms("answer", elapsed_ms)
         return web.Response(
             status=answer.status,
             body=answer.body,
@@ -199,11 +205,7 @@
 
     async def _stream(self, request, attempts, *, offset=0):
         """Pass a streamed answer on; it ends whole or visibly broken."""
-        writer = StreamWriter(
-            request=request,
-            offset=offset,
-            keepalive_ms=self._process.settings.keepalive_interval_ms,
-        )
+        writer = StreamWriter(process=self._process, request=request, offset=offset)
         try:
             await writer.send_all(attempts)
         except (asyncio.CancelledError, ConnectionError):
@@ -223,14 +225,18 @@
     that sends the last id it saw gets what follows.
 
     Args:
+        process: The ``EntryProcess``.
+        request: The caller's HTTP request.
         offset: The place of the first event.
-        keepalive_ms: Time between comments while there are no events.
     """
 
-    def __init__(self, *, request, offset, keepalive_ms):
+    def __init__(self, *, process, request, offset):
+        self._clock = process.clock
+        self._metrics = process.metrics
         self._request = request
         self._place = offset
-        self._keepalive_ms = keepalive_ms
+        self._keepalive_ms = process.settings.keepalive_interval_ms
+        self._last_ms = process.clock.now_ms()
         self._seat_name = ""
         self.response = None
 
@@ -291,7 +297,9 @@
         self.response = response
 
     async def _send_batch(self, attempts, batch):
+        name = "between_events" if self.started else "first_event"
         await self._start(attempts)
+        self._record(name)
         pieces = []
         if attempts.seat.name != self._seat_name:
             self._seat_name = attempts.seat.name
@@ -302,6 +310,11 @@
             pieces.append(f"id: {self._place}\ndata: {json.dumps(event)}\n\n")
         await self._write("".join(pieces))
 
+    def _record(self, name):
+        now_ms = self._clock.now_ms()
+        self._metrics.record_ms(name, now_ms - self._last_ms)
+        self._last_ms = now_ms
+
     async def _keep_alive(self):
         if self.started:
             await self._write(": keep-alive\n\n")
--- /dev/null
+++ b/src/waxwinghold/_entry/peers.py
@@ -0,0 +1,168 @@
+"""The other entries that this one keeps links to."""
+
+import hashlib
+from dataclasses import dataclass
+
+import logbook
+
+from .._links import Link
+from .._messages import SheetDelta, SheetFull, SheetPull, SuspectNotice
+
+log = logbook.Logger("entry")
+
+FAR_PEERS_COUNT = 2
+
+
+@dataclass(frozen=True, kw_only=True)
+class PeerPlace:
+    """Where another entry is reached."""
+
+    name: str
+    data_centre: str
+    address: str
+    public_key: str
+
+
+class Peers:
+    """Links to other entries: the own data centre's, and a few of each other.
+
+    The settings name the first peers; the platform's host list brings those
+    that replaced them. The number of links is bounded: within the bound,
+    rendezvous hashing chooses, so that the links of all entries form a
+    connected mesh without agreement.
+
+    Args:
+        process: The ``EntryProcess``.
+    """
+
+    def __init__(self, *, process):
+        self._process = process
+        self._settings = process.settings
+        self._listed = {}
+        self._links = {}
+        self._places = {}
+        self._tasks = {}
+
+    def start(self):
+        """Open the links to the peers of the settings."""
+        self._follow()
+
+    def apply(self, host_list):
+        """Follow a new host list."""
+        self._listed = {
+            host.name: PeerPlace(
+                name=host.name,
+                data_centre=host.data_centre,
+                address=host.address,
+                public_key=host.public_key,
+            )
+            for host in host_list.hosts
+            if host.role == "entry" and host.state == "live"
+        }
+        self._follow()
+
+    def names_up(self, *, data_centre=None):
+        """Return the names of the peers whose links are up."""
+        return sorted(
+            name
+            for name, link in self._links.items()
+            if link.up
+            and not link.leaving
+            and data_centre in (None, self._places[name].data_centre)
+        )
+
+    def tell(self, message, *, but=""):
+        """Send ``message`` to every peer that is up, but for one."""
+        for name, link in self._links.items():
+            if link.up and name != but:
+                link.send(message)
+
+    def beat(self):
+        """Send a heartbeat on every link at once."""
+        for link in self._links.values():
+            link.beat()
+
+    def take_suspect(self, notice, *, source):
+        """Take in what a peer knows, and pass on what was new."""
+        if self._process.suspects.take(notice):
+            self.tell(notice, but=source)
+
+    def on_up(self, link):
+        """Tell a peer what it may have missed, and hear which sheet it holds."""
+        self._process.heard(link, link.hello.sheet_version, link.hello.sheet_digest)
+        for notice in self._process.suspects.notices():
+            link.send(notice)
+
+    def on_down(self, link):
+        """Forget what the peer held."""
+        self._process.lost(link)
+
+    def on_heartbeat(self, link, heartbeat):
+        """Take in which sheet the peer holds."""
+        self._process.heard(link, heartbeat.sheet_version, heartbeat.sheet_digest)
+
+    def on_leaving(self, link, message):
+        """Note that another entry leaves."""
+        log.info('entry "{}" is leaving: {}', link.name, message.reason)
+
+    def on_message(self, link, message):
+        """Take in sheets and suspects."""
+        if isinstance(message, SuspectNotice):
+            self.take_suspect(message, source=link.name)
+        elif isinstance(message, SheetPull | SheetFull | SheetDelta):
+            self._process.on_sheet_message(link, message)
+
+    def _follow(self):
+        wanted = {place.name: place for place in self._wanted()}
+        for name in list(self._links):
+            if self._places[name] != wanted.get(name):
+                self._close(name)
+        for name, place in wanted.items():
+            if name not in self._links:
+                self._open(place)
+
+    def _wanted(self):
+        places = {peer.name: _place_of(peer) for peer in self._settings.peers}
+        places.update(self._listed)
+        places.pop(self._settings.name, None)
+        ranked = sorted(places.values(), key=self._weight, reverse=True)
+        own = self._settings.data_centre
+        near = [place for place in ranked if place.data_centre == own]
+        chosen = near[: self._settings.peers_limit_count]
+        for data_centre in sorted({place.data_centre for place in ranked} - {own}):
+            far = [place for place in ranked if place.data_centre == data_centre]
+            chosen += far[:FAR_PEERS_COUNT]
+        return chosen
+
+    def _weight(self, place):
+        # The same for both ends, so that each chooses the other.
+        text = " ".join(sorted((self._settings.name, place.name))).encode()
+        return hashlib.blake2b(text, digest_size=8).digest()
+
+    def _open(self, place):
+        link = Link(
+            clock=self._process.clock,
+            context=self._process.context,
+            settings=self._settings,
+            presence=self._process.presence,
+            handler=self,
+            name=place.name,
+            address=place.address,
+            public_key=place.public_key,
+        )
+        self._links[place.name] = link
+        self._places[place.name] = place
+        self._tasks[place.name] = self._process.spawn(link.run())
+
+    def _close(self, name):
+        del self._links[name], self._places[name]
+        self._tasks.pop(name).cancel()
+
+
+def _place_of(peer):
+    return PeerPlace(
+        name=peer.name,
+        data_centre=peer.data_centre,
+        address=peer.address,
+        public_key=peer.public_key,
+    )
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -8,7 +8,6 @@
 from aiohttp import web
 
 from .._errors import NoTargetError
-from .._links import Link
 from .._messages import SheetDelta, SheetFull, SheetPull, SuspectNotice
 from .._policy import (
     DeadlineAdmission,
@@ -18,6 +17,7 @@
 )
 from .._process import Process
 from .._settings import split_ip_port
+from .._sheet.hosts import HostsWatch
 from .._sheet.readers import is_reader
 from .._sheet.watching import PlatformWatch
 from .attempts import Attempts
@@ -25,6 +25,7 @@
 from .fleet import Fleet
 from .http import make_app
 from .issuing import KeyIssuer
+from .peers import Peers
 from .resumption import Resumption
 from .suspects import Suspects
 
@@ -51,11 +52,12 @@
         self._returns = ReturnSchedule()
         self._deadlines = DeadlineAdmission()
         self._in_flight_count = 0
-        self._peer_links = {}
+        self.peers = Peers(process=self)
         self._session = None
         self._watch = None
+        self._hosts = None
         self._runner = None
-        self.store.listen(lambda old, new: self.fleet.apply(new))
+        self.store.listen(self._sheet_changed)
         self.spreader.expect([peer.name for peer in settings.peers])
 
     def require_index(self):
@@ -111,7 +113,7 @@
         self._returns.record_completed(now_ms=self.clock.now_ms())
         notice = self.suspects.note_success(request.digest)
         if notice is not None:
-            self._tell_peers(notice)
+            self.peers.tell(notice)
 
     def note_crash(self, request, *, target, alone):
         """Take in that a target crashed as it ran a request; tell the others."""
@@ -123,31 +125,17 @@
             reason=f"target {target} crashed as it ran the request",
             by=self.settings.name,
         )
-        self._tell_peers(notice)
+        self.peers.tell(notice)
 
     def tell_leaving(self, message):
         super().tell_leaving(message)
-        for link in self._peer_links.values():
-            if link.up:
-                link.send(message)
+        self.peers.tell(message)
 
     def make_handler(self):
         return EntryHandler(process=self)
 
     async def start_role(self):
-        for peer in self.settings.peers:
-            link = Link(
-                clock=self.clock,
-                context=self.context,
-                settings=self.settings,
-                presence=self.presence,
-                handler=PeerHandler(process=self),
-                name=peer.name,
-                address=peer.address,
-                public_key=peer.public_key,
-            )
-            self._peer_links[peer.name] = link
-            self.spawn(link.run())
+        self.peers.start()
         self._session = aiohttp.ClientSession()
         self._watch = PlatformWatch(
             clock=self.clock,
@@ -158,6 +146,11 @@
             may_read=self._may_read,
         )
         self.spawn(self._watch.run())
+        self._hosts = HostsWatch(
+            clock=self.clock, url=self.settings.platform_url, session=self._session
+        )
+        self._hosts.listen(self._hosts_changed)
+        self.spawn(self._hosts.run())
         await self._serve_http()
 
     async def stop_role(self):
@@ -170,7 +163,7 @@
             platform_reads_count=self._watch.reads_count,
             platform_failures_count=self._watch.failures_count,
             suspects_count=len(self.suspects),
-            peers_up=sorted(n for n, link in self._peer_links.items() if link.up),
+            peers_up=self.peers.names_up(),
             targets={
                 name: {
                     "up": seat.link.up,
@@ -186,18 +179,18 @@
     def _may_read(self):
         if self.spreader.is_fresh:
             return False
-        live = [
-            peer.name
-            for peer in self.settings.peers
-            if peer.data_centre == self.settings.data_centre
-            and self._peer_links[peer.name].up
-        ]
+        live = self.peers.names_up(data_centre=self.settings.data_centre)
         return is_reader(self.settings.name, live, self.settings.readers_count)
 
-    def _tell_peers(self, message):
-        for link in self._peer_links.values():
-            if link.up:
-                link.send(message)
+    def _hosts_changed(self, host_list):
+        self.peers.apply(host_list)
+        self.fleet.note_hosts({host.name: host.state for host in host_list.hosts})
+
+    def _sheet_changed(self, old, new):
+        self.fleet.apply(new)
+        # Those who are behind hear of it now and not at the next heartbeat.
+        self.peers.beat()
+        self.fleet.beat()
 
     async def _serve_http(self):
         host, port = split_ip_port(self.settings.http_address)
@@ -212,42 +205,6 @@
         await web.TCPSite(self._runner, host, port).start()
 
 
-class PeerHandler:
-    """Handles what comes over the links to other entries.
-
-    Args:
-        process: The ``EntryProcess``.
-    """
-
-    def __init__(self, *, process):
-        self._process = process
-
-    def on_up(self, link):
-        """Tell a peer what it may have missed, and hear which sheet it holds."""
-        self._process.heard(link, link.hello.sheet_version, link.hello.sheet_digest)
-        for notice in self._process.suspects.notices():
-            link.send(notice)
-
-    def on_down(self, link):
-        """Forget what the peer held."""
-        self._process.lost(link)
-
-    def on_heartbeat(self, link, heartbeat):
-        """Take in which sheet the peer holds."""
-        self._process.heard(link, heartbeat.sheet_version, heartbeat.sheet_digest)
-
-    def on_leaving(self, link, message):
-        """Note that another entry leaves."""
-        log.info('entry "{}" is leaving: {}', link.name, message.reason)
-
-    def on_message(self, link, message):
-        """Take in sheets and suspects."""
-        if isinstance(message, SuspectNotice):
-            self._process.suspects.take(message)
-        elif isinstance(message, SheetPull | SheetFull | SheetDelta):
-            self._process.on_sheet_message(link, message)
-
-
 class EntryHandler:
     """Handles what comes over connections that others opened.
 
@@ -259,26 +216,28 @@
         self._process = process
 
     def on_connected(self, connection):
-        """Accept a peer; the link in the other direction brings its sheet."""
-        log.debug('"{}" connected', connection.name)
+        """Take in which sheet a new peer holds."""
+        hello = connection.hello
+        self._process.heard(connection, hello.sheet_version, hello.sheet_digest)
 
     def on_heartbeat(self, connection, heartbeat):
-        """Do nothing more: the answer has been sent."""
+        """Take in which sheet a peer holds."""
+        self._process.heard(connection, heartbeat.sheet_version, heartbeat.sheet_digest)
 
     def on_leaving(self, connection, message):
         """Note that a peer leaves."""
         log.info('"{}" is leaving: {}', message.name, message.reason)
 
     def on_gone(self, connection):
-        """Forget a connection."""
-        log.debug('"{}" is gone', connection.name)
+        """Forget what a peer held."""
+        self._process.lost(connection)
 
     async def on_message(self, connection, message):
         """Take in suspects; answer sheet pulls and operators."""
         if isinstance(message, SuspectNotice):
             if connection.key.role == "entry":
-                self._process.suspects.take(message)
-        elif isinstance(message, SheetPull):
+                self._process.peers.take_suspect(message, source=connection.name)
+        elif isinstance(message, SheetPull | SheetFull | SheetDelta):
             self._process.on_sheet_message(connection, message)
         else:
             self._process.on_operator_message(connection, message)
--- a/src/waxwinghold/_entry/suspects.py
+++ b/src/waxwinghold/_entry/suspects.py
@@ -72,17 +72,20 @@
         return SuspectNotice(digest=digest, crashes=(), cleared=True)
 
     def take(self, notice):
-        """Take in what another entry knows."""
+        """Take in what another entry knows; return whether it was news."""
         suspect = self._suspects.get(notice.digest)
         if notice.cleared:
-            if suspect is not None and not suspect.condemned:
-                del self._suspects[notice.digest]
-            return
+            if suspect is None or suspect.condemned:
+                return False
+            del self._suspects[notice.digest]
+            return True
         if suspect is None:
             suspect = self._suspects[notice.digest] = _Suspect()
+        before = (len(suspect.crashes), suspect.condemned)
         suspect.crashes.update(notice.crashes)
         suspect.condemned = suspect.condemned or notice.condemned
         self._touch(notice.digest, suspect)
+        return before != (len(suspect.crashes), suspect.condemned)
 
     def notices(self):
         """Return all that a peer which just connected should know."""
--- a/src/waxwinghold/_links/client.py
+++ b/src/waxwinghold/_links/client.py
@@ -1,6 +1,7 @@
 """The connecting side of a link: heartbeats, silence, replacement."""
 
 import asyncio
+import contextlib
 
 import logbook
 import zmq
@@ -67,6 +68,7 @@
         self._sequence = 0
         self._echoed = 0
         self._offsets_ms = []
+        self._beat_now = asyncio.Event()
 
     @property
     def up(self):
@@ -97,6 +99,10 @@
         future = self._socket.send(encode(message))
         future.add_done_callback(_consume_error)
 
+    def beat(self):
+        """Send a heartbeat at once: there is news in it."""
+        self._beat_now.set()
+
     async def run(self):
         """Keep the link up until cancelled."""
         try:
@@ -202,8 +208,12 @@
         del self._offsets_ms[:-OFFSETS_KEPT_COUNT]
 
     async def _beat(self, socket):
+        interval_s = self._settings.heartbeat_interval_ms / 1000
         while True:
-            await self._clock.sleep_ms(self._settings.heartbeat_interval_ms)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self._beat_now.wait()
+            self._beat_now.clear()
             self._sequence += 1
             heartbeat = self._presence.heartbeat(
                 sequence=self._sequence, echo_sequence=self._echoed
--- /dev/null
+++ b/src/waxwinghold/_metrics.py
@@ -0,0 +1,122 @@
+"""Counters and latency histograms, in the format that monitoring tools take."""
+
+from collections import defaultdict
+
+from aiohttp import web
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
+
+US_PER_MS = 1000
+LOWEST_US = 1
+HIGHEST_US = 3_600_000_000
+SIGNIFICANT_DIGITS = 2
+PERCENTILES = (50.0, 95.0, 99.0)
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+
+
+class Metrics:
+    """The measurements of one process.
+
+    Args:
+        process: The process's name, a label of every series.
+    """
+
+    def __init__(self, *, process):
+        self._process = process
+        self._counts = defaultdict(int)
+        self._histograms = {}
+        self._gauges = {}
+        self._registry = CollectorRegistry()
+        self._registry.register(self)
+
+    def count(self, name, *, label=""):
+        """Count one event of ``name``, apart for each ``label``."""
+        self._counts[name, label] += 1
+
+    def record_ms(self, name, duration_ms, *, label=""):
+        """Record a duration in the histogram of ``name`` and ``label``."""
+        histogram = self._histograms.get((name, label))
+        if histogram is None:
+            histogram = HdrHistogram(LOWEST_US, HIGHEST_US, SIGNIFICANT_DIGITS)
+            self._histograms[name, label] = histogram
+        histogram.record_value(max(LOWEST_US, int(duration_ms * US_PER_MS)))
+
+    def gauge(self, name, read):
+        """Publish what ``read`` returns whenever the metrics are read."""
+        self._gauges[name] = read
+
+    def summary(self):
+        """Return counts and percentiles in plain types, for ``waxwing status``."""
+        counts = {_joined(key): count for key, count in self._counts.items()}
+        durations = {
+            _joined(key): {
+                "count": histogram.get_total_count(),
+                **{
+                    f"p{percentile:g}_ms": _percentile_ms(histogram, percentile)
+                    for percentile in PERCENTILES
+                },
+            }
+            for key, histogram in self._histograms.items()
+        }
+        return {"counts": counts, "durations": durations}
+
+    def render(self):
+        """Return all series as text."""
+        return generate_latest(self._registry)
+
+    def collect(self):
+        """Yield the metric families; called by the registry."""
+        for name in sorted({name for name, _ in self._counts}):
+            yield self._counter_family(name)
+        for name in sorted({name for name, _ in self._histograms}):
+            yield self._quantile_family(name)
+        for name, read in self._gauges.items():
+            family = GaugeMetricFamily(
+                f"waxwinghold_{name}", f"Current {name}.", labels=["process"]
+            )
+            family.add_metric([self._process], read())
+            yield family
+
+    def _counter_family(self, name):
+        family = CounterMetricFamily(
+            f"waxwinghold_{name}", f"Events: {name}.", labels=["process", "label"]
+        )
+        for (other, label), count in self._counts.items():
+            if other == name:
+                family.add_metric([self._process, label], count)
+        return family
+
+    def _quantile_family(self, name):
+        family = GaugeMetricFamily(
+            f"waxwinghold_{name}_ms",
+            f"Percentiles of {name} in milliseconds since the start.",
+            labels=["process", "label", "quantile"],
+        )
+        for (other, label), histogram in self._histograms.items():
+            if other != name:
+                continue
+            for percentile in PERCENTILES:
+                labels = [self._process, label, f"{percentile / 100:g}"]
+                family.add_metric(labels, _percentile_ms(histogram, percentile))
+        return family
+
+
+def add_metrics_route(app, metrics):
+    """Serve ``metrics`` at ``/metrics`` of ``app``."""
+
+    async def serve(request):
+        return web.Response(
+            body=metrics.render(), headers={"Content-Type": CONTENT_TYPE}
+        )
+
+    app.router.add_get("/metrics", serve)
+
+
+def _percentile_ms(histogram, percentile):
+    return histogram.get_value_at_percentile(percentile) / US_PER_MS
+
+
+def _joined(key):
+    name, label = key
+    return f"{name}.{label}" if label else name
--- a/src/waxwinghold/_process.py
+++ b/src/waxwinghold/_process.py
@@ -5,6 +5,7 @@
 import logbook
 import msgspec
 import zmq.asyncio
+from aiohttp import web
 
 from ._audit import AuditTrail
 from ._keys import TokenMint, random_name
@@ -21,6 +22,8 @@
     StatusQuery,
     StatusReply,
 )
+from ._metrics import Metrics, add_metrics_route
+from ._settings import split_ip_port
 from ._sheet.spreading import SheetSpreader
 from ._sheet.store import SheetStore
 
@@ -61,6 +64,7 @@
             report=self.report,
         )
         self.leaving = False
+        self.metrics = Metrics(process=settings.name)
         self.server = None
         self.context = None
         self.key_ring = KeyRing(known_keys=settings.known_keys)
@@ -103,6 +107,7 @@
             "links_refused_count": self.key_ring.refused_count
             + self.server.refused_count,
             "frames_malformed_count": self.server.malformed_count,
+            "metrics": self.metrics.summary(),
         }
 
     async def run(self):
@@ -120,12 +125,15 @@
         self.spawn(self.server.run())
         self.spawn(self._spread())
         await self.start_role()
+        site = await self._serve_metrics()
         log.info('{} "{}" is up', self.role, self.settings.name)
         try:
             await self._stop.wait()
             await self._finish_in_flight()
         finally:
             await self.stop_role()
+            if site is not None:
+                await site.cleanup()
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -216,6 +224,19 @@
         while self.unfinished_count() and self.clock.now_ms() < limit_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
 
+    async def _serve_metrics(self):
+        """Serve metrics if the settings name an address; return the runner."""
+        self.metrics.gauge("in_flight_count", self.unfinished_count)
+        self.metrics.gauge("sheet_version", lambda: self.store.version)
+        if not self.settings.metrics_address:
+            return None
+        app = web.Application()
+        add_metrics_route(app, self.metrics)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, *split_ip_port(self.settings.metrics_address)).start()
+        return runner
+
     def _task_done(self, task):
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -62,6 +62,8 @@
         watch_wait_ms: How long the platform may hold a watch.
         readers_count: Processes of a data centre that watch the platform.
         log_level: A level name of logbook.
+        metrics_address: Where metrics are read over HTTP, ``IP:PORT``; empty
+            for nowhere.
     """
 
     name: str
@@ -80,6 +82,7 @@
     readers_count: int = 2
     audit_limit_count: int = 10_000
     log_level: str = "INFO"
+    metrics_address: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -92,8 +95,8 @@
         answer_limit_bytes: Largest answer that is not streamed.
         key_lifetime_ms: How long an issued key can be used.
         targets_limit_count: Targets that the entry keeps links to.
+        peers_limit_count: Entries of the own data centre that it keeps links to.
         keepalive_interval_ms: Time between comments on a quiet stream.
-        crashes_limit_count: Target crashes after which a request is refused.
         retry_budget_ratio: Retries allowed for each first attempt.
     """
 
@@ -102,9 +105,9 @@
     answer_limit_bytes: int = 4 * 1024 * 1024
     key_lifetime_ms: int = 600_000
     targets_limit_count: int = 128
+    peers_limit_count: int = 8
     in_flight_limit_count: int = 4096
     keepalive_interval_ms: int = 10_000
-    crashes_limit_count: int = 2
     retry_budget_ratio: float = 0.1
 
 
@@ -192,7 +195,9 @@
     """Return what was expected of the field, or ``None`` if it is met."""
     if name in ("link_address", "address"):
         return None if is_link_address(value) else "tcp://IP:PORT with an IP number"
-    if name == "http_address":
+    if name == "metrics_address" and not value:
+        return None
+    if name in ("http_address", "metrics_address"):
         return None if _is_ip_port(value) else "IP:PORT with an IP number"
     if name in ("platform_url", "target_url"):
         return None if is_ip_url(value) else "http://IP:PORT with an IP number"
