--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -4,7 +4,7 @@
 import ipaddress
 import re
 import urllib.parse
-from dataclasses import dataclass, fields
+from dataclasses import dataclass, fields, is_dataclass
 from pathlib import Path
 
 import json5
@@ -33,7 +33,14 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Peer:
-    """Another entry that this process keeps a link to."""
+    """Another entry that this process keeps a link to.
+
+    Args:
+        name: The entry's name.
+        data_centre: The data centre that it stands in.
+        address: Its link, as ``tcp://IP:PORT``.
+        public_key: Its CURVE public key in Z85.
+    """
 
     name: str
     data_centre: str
@@ -59,8 +66,10 @@
         heartbeat_interval_ms: Time between heartbeats.
         silence_limit_ms: Silence after which a connection is replaced.
         drain_limit_ms: Longest time that a stop waits for work in flight.
-        watch_wait_ms: How long the platform may hold a watch.
+        watch_wait_ms: How long the platform may hold a watch; also bounds how
+            long a connection to it that went silent stays unnoticed.
         readers_count: Processes of a data centre that watch the platform.
+        audit_limit_count: Entries that the audit trail keeps.
         log_level: A level name of logbook.
     """
 
@@ -76,7 +85,7 @@
     heartbeat_interval_ms: int = 1000
     silence_limit_ms: int = 3000
     drain_limit_ms: int = 60_000
-    watch_wait_ms: int = 30_000
+    watch_wait_ms: int = 3000
     readers_count: int = 2
     audit_limit_count: int = 10_000
     log_level: str = "INFO"
@@ -92,6 +101,7 @@
         answer_limit_bytes: Largest answer that is not streamed.
         key_lifetime_ms: How long an issued key can be used.
         targets_limit_count: Targets that the entry keeps links to.
+        in_flight_limit_count: Callers' requests that may be open at once.
         keepalive_interval_ms: Time between comments on a quiet stream.
         crashes_limit_count: Target crashes after which a request is refused.
         retry_budget_ratio: Retries allowed for each first attempt.
@@ -179,13 +189,19 @@
         problem = _problem(field.name, value)
         if problem:
             raise SettingsError(file=path, key=field.name, expected=problem)
-    for table in ("known_keys", "peers"):
-        for index, row in enumerate(getattr(settings, table)):
-            for field in fields(row):
-                problem = _problem(field.name, getattr(row, field.name))
-                if problem:
-                    key = f"{table}[{index}].{field.name}"
-                    raise SettingsError(file=path, key=key, expected=problem)
+        if isinstance(value, tuple):
+            _check_rows(path, field.name, value)
+
+
+def _check_rows(path, table, rows):
+    for index, row in enumerate(rows):
+        if not is_dataclass(row):
+            return
+        for field in fields(row):
+            problem = _problem(field.name, getattr(row, field.name))
+            if problem:
+                key = f"{table}[{index}].{field.name}"
+                raise SettingsError(file=path, key=key, expected=problem)
 
 
 def _problem(name, value):
--- a/src/waxwinghold/_sheet/model.py
+++ b/src/waxwinghold/_sheet/model.py
@@ -40,7 +40,10 @@
     """One call of a service.
 
     Args:
-        priority: 0 is the most urgent.
+        name: The call's name, unique in its service.
+        repeat: How often the call may run.
+        streamed: Whether the answer is a stream of events; models only.
+        priority: 0 is the most urgent, 9 the least.
         deadline_ms: The longest that a caller waits for the whole answer.
     """
 
@@ -53,7 +56,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class VersionShare:
-    """The share of a service's unpinned traffic that one version gets."""
+    """The share of a service's unpinned traffic that one version gets.
+
+    Args:
+        version: The version; for a model service one of its model's.
+        share_percent: The share; all shares of a service make 100. A version
+            with share 0 serves only those who ask for it.
+    """
 
     version: str
     share_percent: float
@@ -76,7 +85,16 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Service:
-    """What callers call. ``model`` is empty for a plain service."""
+    """What callers call.
+
+    Args:
+        name: The service's name.
+        kind: What stands behind the service.
+        calls: The calls that the service answers.
+        versions: The versions in use and their shares.
+        model: The model's name; empty for a plain service.
+        placement: The prices of expert placement.
+    """
 
     name: str
     kind: Kind
@@ -88,7 +106,13 @@
 
 @dataclass(frozen=True, kw_only=True)
 class ModelVersion:
-    """One version of a model's weights, and the adapters made for it."""
+    """One version of a model's weights, and the adapters made for it.
+
+    Args:
+        version: The version's name, unique in its model.
+        weights_bytes: Size of the weights of one rank.
+        adapters: Names of the adapters made for the version.
+    """
 
     version: str
     weights_bytes: int
@@ -97,7 +121,15 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Model:
-    """A model; ``experts_count`` and ``layers_count`` are 0 for a dense one."""
+    """A model that engines can load.
+
+    Args:
+        name: The model's name.
+        versions: The versions of its weights.
+        experts_count: Experts in a layer; 0 for a dense model.
+        layers_count: Layers with experts; 0 for a dense model.
+        expert_bytes: Size of one expert's weights in one layer.
+    """
 
     name: str
     versions: tuple[ModelVersion, ...]
@@ -111,6 +143,8 @@
     """Ranks that run in lock-step on one expert map.
 
     Args:
+        name: The group's name.
+        service: The service that the group serves.
         ranks_count: Ranks of the group over all of its targets.
         spare_places_count: Places for extra expert copies on each rank.
     """
@@ -126,12 +160,18 @@
     """One worker of a service, with the agent beside it.
 
     Args:
+        name: The target's name, which is also its agent's.
+        service: The service that it serves.
+        data_centre: The data centre that it stands in.
+        version: The version that it runs.
         agent_address: The agent's link, as ``tcp://IP:PORT``.
         agent_public_key: The agent's CURVE key, in Z85.
         group: The group whose ranks the target holds; empty for none.
         ranks: Numbers of the group's ranks that this target holds.
+        adapters: Adapters that the target should have loaded.
         checks_orders: Whether the target refuses orders with an old number.
         slots_count: Requests that the target may run at once.
+        state: Whether operators want the target to serve.
     """
 
     name: str
@@ -153,6 +193,7 @@
     """Who calls.
 
     Args:
+        name: The customer's name.
         token_sha256: The caller's bearer token, hashed, in hexadecimal.
         services: Names of the services that the customer may use.
         share: Weight in the division of a busy target.
@@ -171,7 +212,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Sheet:
-    """The whole published configuration. Higher versions replace lower ones."""
+    """The whole published configuration. Higher versions replace lower ones.
+
+    Args:
+        version: A whole number that grows with each published sheet.
+        issued_by: Who published the sheet, for the audit trail.
+        services: What callers call.
+        models: What engines load.
+        groups: Groups of ranks that run in lock-step.
+        targets: The workers.
+        customers: Who calls.
+    """
 
     version: int
     issued_by: str
--- /dev/null
+++ b/src/waxwinghold/_tool/explaining.py
@@ -0,0 +1,161 @@
+"""Explains which targets a call could go to by a sheet, and why not the others."""
+
+from dataclasses import dataclass
+
+from .._errors import (
+    ServiceNotAllowedError,
+    UnknownCallError,
+    UnknownCustomerError,
+    UnknownServiceError,
+    UnknownVersionError,
+)
+from .._sheet.index import index_sheet
+from .._sheet.model import Repeat, TargetState
+
+REPEATS = {
+    Repeat.IDEMPOTENT: "idempotent: tried again elsewhere after a failure",
+    Repeat.ONCE: "needs an issued key; only the target that the key names runs it",
+    Repeat.SINGLE: "sent once, never again",
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class VersionChance:
+    """How much of the call's traffic goes to a version, and why."""
+
+    version: str
+    share_percent: float
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class TargetChance:
+    """Whether the call could go to a target, and why or why not."""
+
+    target: str
+    data_centre: str
+    possible: bool
+    reason: str
+
+
+@dataclass(frozen=True, kw_only=True)
+class Explanation:
+    """Where one call of one customer could go.
+
+    Args:
+        refusal: Why the call is refused; empty if it is not.
+        priority: The call's priority for this customer.
+        repeat: What may be done after a failure.
+    """
+
+    refusal: str = ""
+    priority: int = 0
+    deadline_ms: int = 0
+    repeat: str = ""
+    versions: tuple[VersionChance, ...] = ()
+    targets: tuple[TargetChance, ...] = ()
+
+    @property
+    def possible(self):
+        """Whether any target could get the call."""
+        return any(target.possible for target in self.targets)
+
+
+def explain(sheet, *, service, call, customer, version=""):
+    """Return the ``Explanation`` of a call by the sheet alone.
+
+    Health and load, which only running processes know, are left out.
+
+    Args:
+        service: The service's name.
+        call: The call's name.
+        customer: The customer's name.
+        version: The version that the caller asks for; empty for none.
+    """
+    index = index_sheet(sheet)
+    try:
+        row = _customer(index, customer, service)
+        service_row = index.services[service]
+        call_row = _call(service_row, call)
+        versions = _versions(service_row, row, version)
+    except (
+        ServiceNotAllowedError,
+        UnknownCallError,
+        UnknownCustomerError,
+        UnknownServiceError,
+        UnknownVersionError,
+    ) as error:
+        return Explanation(refusal=f"{error.code}: {error}")
+    return Explanation(
+        priority=max(call_row.priority, row.priority_floor),
+        deadline_ms=call_row.deadline_ms,
+        repeat=REPEATS[call_row.repeat],
+        versions=versions,
+        targets=tuple(
+            _target(target, service, versions)
+            for target in sorted(sheet.targets, key=lambda target: target.name)
+        ),
+    )
+
+
+def _customer(index, customer, service):
+    row = index.customers.get(customer)
+    if row is None:
+        raise UnknownCustomerError()
+    if service not in index.services:
+        raise UnknownServiceError(service=service)
+    if service not in row.services:
+        raise ServiceNotAllowedError(customer=customer, service=service)
+    return row
+
+
+def _call(service, name):
+    for call in service.calls:
+        if call.name == name:
+            return call
+    raise UnknownCallError(call=name, service=service.name)
+
+
+def _versions(service, customer, wanted):
+    known = {share.version for share in service.versions}
+    chosen = (customer.versions or {}).get(service.name, "")
+    for version, reason in (
+        (wanted, "the caller asks for it"),
+        (chosen, "the sheet chooses it for the customer"),
+    ):
+        if not version:
+            continue
+        if version not in known:
+            raise UnknownVersionError(version=version, service=service.name)
+        return (VersionChance(version=version, share_percent=100, reason=reason),)
+    return tuple(
+        VersionChance(
+            version=share.version,
+            share_percent=share.share_percent,
+            reason="its share of the service",
+        )
+        for share in service.versions
+    )
+
+
+def _target(target, service, versions):
+    reason = _reason_against(target, service, versions)
+    return TargetChance(
+        target=target.name,
+        data_centre=target.data_centre,
+        possible=not reason,
+        reason=reason or f'serves version "{target.version}"',
+    )
+
+
+def _reason_against(target, service, versions):
+    if target.service != service:
+        return f'serves service "{target.service}"'
+    shares = {chance.version: chance.share_percent for chance in versions}
+    if target.version not in shares:
+        return f'runs version "{target.version}"'
+    if not shares[target.version]:
+        return f'runs version "{target.version}", which has share 0'
+    if target.state is TargetState.LEAVING:
+        return "is leaving"
+    return ""
