--- a/src/waxwinghold/_links/client.py
+++ b/src/waxwinghold/_links/client.py
@@ -9,6 +9,7 @@
 from zmq.utils.monitor import recv_monitor_message
 
 from .._messages import (
+    FRAME_LIMIT_BYTES,
     Heartbeat,
     Hello,
     Leaving,
@@ -21,7 +22,6 @@
 
 log = logbook.Logger("links")
 
-FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 RECONNECT_INTERVAL_MS = 250
 NO_RECONNECT = -1
 OFFSETS_KEPT_COUNT = 8
