Keep version names as text on the stand-ins' command lines

Cause: fire reads the version 2026.10 as the number 2026.1. Ruled out: quoting on the command line, which every caller would have to know. Before and after: the new process test failed without the parse functions (2026.1 instead of 2026.10) and passes with them. Conclusion: versions and addresses are texts; the stand-ins' processes, their clean end and their crash are tested too.

--- a/src/waxwinghold_standins/engine.py
+++ b/src/waxwinghold_standins/engine.py
@@ -3,6 +3,7 @@
 import fire
 import msgspec
 from aiohttp import web
+from fire.decorators import SetParseFns
 
 from ._engine_control import ControlRoutes
 from ._faults import bad_request, json_answer, read_json
@@ -190,7 +191,8 @@
     return Generation(**values)
 
 
-def serve(*, address, model_version="v1", adapters=(), **options):
+@SetParseFns(address=str, model_version=str, adapters=str)
+def serve(*, address, model_version="v1", adapters="", **options):
     """Serve a model engine until SIGTERM.
 
     Args:
@@ -200,10 +202,9 @@
         options: Options of ``Engine`` and ``Rank``, such as ``--step_ms 20``.
             Reports and cache events lag unless told otherwise.
     """
-    names = adapters.split(",") if isinstance(adapters, str) else adapters
     engine = Engine(
-        version=str(model_version),
-        adapters=[str(name) for name in names],
+        version=model_version,
+        adapters=[name for name in adapters.split(",") if name],
         exits_on_crash=True,
         **LAGGING | options,
     )
--- a/src/waxwinghold_standins/lock_step.py
+++ b/src/waxwinghold_standins/lock_step.py
@@ -4,6 +4,7 @@
 import contextlib
 
 import fire
+from fire.decorators import SetParseFns
 
 from waxwinghold import Clock
 from waxwinghold._settings import split_ip_port
@@ -93,6 +94,7 @@
         await until_ended(*urls)
 
 
+@SetParseFns(addresses=str, model_version=str)
 def serve(*, addresses, model_version="v1", **options):
     """Serve a lock-step group until SIGTERM.
 
@@ -101,9 +103,8 @@
         model_version: The model version at the start.
         options: Options of ``Engine`` and ``Rank``.
     """
-    names = addresses.split(",") if isinstance(addresses, str) else addresses
-    pairs = [split_ip_port(name) for name in names]
-    group = LockStepGroup(ranks_count=len(pairs), version=str(model_version), **options)
+    pairs = [split_ip_port(address) for address in addresses.split(",")]
+    group = LockStepGroup(ranks_count=len(pairs), version=model_version, **options)
     asyncio.run(_serve(group, pairs[0][0], [port for _, port in pairs]))
 
 
--- a/tests/test_standin_engine.py
+++ b/tests/test_standin_engine.py
@@ -28,6 +28,10 @@
 
 
 class AnswerTests(EngineTestCase):
+    async def test_tokens_tell_prompts_versions_and_places_apart(self):
+        variants = [("p", "v1", 0), ("p", "v1", 1), ("p", "v2", 0), ("q", "v1", 0)]
+        self.assertEqual(len({token_text(*variant) for variant in variants}), 4)
+
     async def test_a_stream_resumed_while_open_gives_the_same_answer(self):
         engine = await self.engine(step_ms=10.0)
         body = generate_body("r", max_tokens=8)
--- /dev/null
+++ b/tests/test_standin_processes.py
@@ -0,0 +1,52 @@
+"""Stand-ins as processes of their own."""
+
+import asyncio
+import signal
+import sys
+
+import aiohttp
+
+from tests.standin_client import LIMIT_S, StandInTestCase
+
+
+class ProcessTests(StandInTestCase):
+    async def process(self, name, *arguments):
+        process = await asyncio.create_subprocess_exec(
+            *(sys.executable, "-m", f"waxwinghold_standins.{name}", *arguments),
+            stdout=asyncio.subprocess.PIPE,
+        )
+        self.addAsyncCleanup(self.end, process)
+        async with asyncio.timeout(LIMIT_S):
+            ready = await process.stdout.readline()
+        return process, ready.decode().split()[1:]
+
+    async def end(self, process):
+        if process.returncode is None:
+            process.send_signal(signal.SIGTERM)
+        async with asyncio.timeout(LIMIT_S):
+            # Reads to the end, which also closes the pipe.
+            await process.communicate()
+        return process.returncode
+
+    async def test_a_version_keeps_its_text_and_the_end_is_clean(self):
+        arguments = ("--address", "127.0.0.1:0", "--model-version", "2026.10")
+        process, (url,) = await self.process("engine", *arguments)
+        _, model = await self.get(f"{url}/model")
+        self.assertEqual(model["version"], "2026.10")
+        self.assertEqual(await self.end(process), 0)
+
+    async def test_a_marked_body_ends_the_process(self):
+        process, (url,) = await self.process("service", "--address=127.0.0.1:0")
+        await self.fault(url, crash_marker="poison")
+        with self.assertRaises(aiohttp.ClientError):
+            await self.post(f"{url}/calls/hold", {"item": "poison"})
+        self.assertEqual(await self.end(process), 70)
+
+    async def test_a_group_serves_every_rank(self):
+        addresses = "--addresses=127.0.0.1:0,127.0.0.1:0"
+        process, urls = await self.process("lock_step", addresses)
+        for url in urls:
+            _, answer = await self.get(f"{url}/map")
+            self.assertEqual(answer["map_id"], "initial")
+        self.assertEqual(len(set(urls)), 2)
+        self.assertEqual(await self.end(process), 0)
