Add expert placement that repairs the plan where it pays

Cause: popularity drifts, the busiest rank sets the step time, and loading experts disturbs steps; the two customers price these differently. Ruled out: planning from scratch each minute (every expert moves); only new copies of the busiest rank's experts (stuck at skew 1.25 of 1.25 allowed, 16 ranks: the busiest rank could not give up a copy of its own).

--- a/src/waxwinghold/_policy/__init__.py
+++ b/src/waxwinghold/_policy/__init__.py
@@ -2,7 +2,16 @@
 
 from .admission import DeadlineAdmission
 from .budget import RetryBudget, ReturnSchedule
-from .choice import Candidate, ChoicePolicy, ChoiceRequest, make_choice_policy
+from .choice import Candidate, ChoicePolicy, ChoiceRequest, choice_policy
+from .placement import (
+    GroupShape,
+    Move,
+    PlacementPolicy,
+    Plan,
+    placement_policy,
+    plan_skew,
+)
+from .repair import RepairPlacement
 from .weighed import WeighedChoice
 
 __all__ = [
@@ -10,8 +19,15 @@
     "ChoicePolicy",
     "ChoiceRequest",
     "DeadlineAdmission",
+    "GroupShape",
+    "Move",
+    "PlacementPolicy",
+    "Plan",
+    "RepairPlacement",
     "RetryBudget",
     "ReturnSchedule",
     "WeighedChoice",
-    "make_choice_policy",
+    "choice_policy",
+    "placement_policy",
+    "plan_skew",
 ]
--- a/src/waxwinghold/_policy/choice.py
+++ b/src/waxwinghold/_policy/choice.py
@@ -4,8 +4,8 @@
 from collections.abc import Sequence
 from dataclasses import dataclass
 
-from .._errors import WaxwingError
 from .._messages import Report
+from .registry import Registry
 
 DEFAULT_SERVICE_MS = 50.0
 
@@ -60,15 +60,6 @@
     home: str = ""
 
 
-class UnknownPolicyError(WaxwingError):
-    """A policy name that no class is registered under."""
-
-    code = "unknown_policy"
-
-    def __init__(self, *, name, known):
-        super().__init__(f'policy "{name}" does not exist; known: {", ".join(known)}')
-
-
 class ChoicePolicy:
     """Base of the policies: sorts out who may be chosen at all.
 
@@ -112,32 +103,7 @@
         raise NotImplementedError
 
 
-_policies: dict[str, type[ChoicePolicy]] = {}
-
-
-def choice_policy(name):
-    """Register the decorated ``ChoicePolicy`` under ``name``."""
-
-    def register(policy_class):
-        _policies[name] = policy_class
-        return policy_class
-
-    return register
-
-
-def make_choice_policy(name, **arguments):
-    """Return a new policy of the registered ``name``.
-
-    Args:
-        name: The registered name.
-        arguments: Keyword arguments of the policy's constructor.
-
-    Raises:
-        UnknownPolicyError: No policy has that name.
-    """
-    if name not in _policies:
-        raise UnknownPolicyError(name=name, known=sorted(_policies))
-    return _policies[name](**arguments)
+choice_policy = Registry(kind="choice")
 
 
 @choice_policy("round_robin")
--- a/tests/test_policy_choice.py
+++ b/tests/test_policy_choice.py
@@ -6,8 +6,8 @@
 from dataclasses import replace
 
 from waxwinghold._messages import Report
-from waxwinghold._policy import Candidate, ChoiceRequest, make_choice_policy
-from waxwinghold._policy.choice import UnknownPolicyError
+from waxwinghold._policy import Candidate, ChoiceRequest, choice_policy
+from waxwinghold._policy.registry import UnknownPolicyError
 
 POLICIES = ("round_robin", "least_reported", "weighed")
 
@@ -21,7 +21,7 @@
 
 
 def make_policy(name="weighed", seed=1, **arguments):
-    return make_choice_policy(name, rng=random.Random(seed), **arguments)
+    return choice_policy.make(name, rng=random.Random(seed), **arguments)
 
 
 def choose_many(policy, candidates, *, count=200, **fields):
@@ -51,7 +51,7 @@
 
     def test_an_unknown_policy_is_named(self):
         with self.assertRaisesRegex(UnknownPolicyError, '"best"'):
-            make_choice_policy("best")
+            choice_policy.make("best")
 
     def test_equal_seeds_choose_equally(self):
         candidates = [make_candidate(str(number)) for number in range(9)]
