--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -14,7 +14,7 @@
     DeadlineAdmission,
     RetryBudget,
     ReturnSchedule,
-    make_choice_policy,
+    choice_policy,
 )
 from .._process import Process
 from .._settings import split_ip_port
@@ -46,7 +46,7 @@
         self.admission = Admission(clock=clock, mint=self.mint)
         self.issuer = KeyIssuer(process=self)
         self.suspects = Suspects(clock=clock)
-        self.policy = make_choice_policy(CHOICE_POLICY, rng=random.Random())
+        self.policy = choice_policy.make(CHOICE_POLICY, rng=random.Random())
         self.budget = RetryBudget(ratio=settings.retry_budget_ratio)
         self._returns = ReturnSchedule()
         self._deadlines = DeadlineAdmission()
