Make engines hold the version and adapters of the sheet

Cause: a sheet that moves a target to another version changed only where requests were sent; the engine went on with what it had. Ruled out: orders from the entries, which would race; the agent beside the engine is the only one that gives orders, under its fencing numbers. Before: an engine on v1 answered requests for v2. Conclusion: the agent compares and orders until engine and sheet agree, and only while it hears an entry.

--- a/src/waxwinghold/_agent/handler.py
+++ b/src/waxwinghold/_agent/handler.py
@@ -57,6 +57,7 @@
         """Take in what a new peer says that it holds."""
         hello = connection.hello
         self._process.heard(connection, hello.sheet_version, hello.sheet_digest)
+        self._process.note_entry_heard()
 
     def on_heartbeat(self, connection, heartbeat):
         """Take in what a peer says that it holds."""
@@ -144,10 +145,11 @@
     def _check_admission(self, submit):
         if self._process.leaving:
             raise DrainingError("the target is leaving")
-        if self._process.target is None:
-            raise NoTargetError(service=submit.service, version=submit.version)
         target = self._process.target
-        if (target.service, target.version) != (submit.service, submit.version):
+        wanted = (submit.service, submit.version)
+        if target is None or (target.service, target.version) != wanted:
+            raise NoTargetError(service=submit.service, version=submit.version)
+        if not self._process.reconciler.ready:
             raise NoTargetError(service=submit.service, version=submit.version)
         if self._clock.wall_ms() >= submit.deadline_at_ms:
             raise DeadlineError("the deadline passed on the way to the target")
--- a/src/waxwinghold/_agent/monitor.py
+++ b/src/waxwinghold/_agent/monitor.py
@@ -43,7 +43,9 @@
         self.healthy = await self._client.is_healthy()
         return self.healthy
 
-    def report(self, *, waiting_count, running_count, slots_count, queue_wait_ms):
+    def report(
+        self, *, waiting_count, running_count, slots_count, ready, queue_wait_ms
+    ):
         """Return the load report of this moment."""
         step_ms = self._load.step_ms if self._load else 0.0
         age_ms = 0.0
@@ -57,7 +59,7 @@
             step_ms=round(step_ms, 1),
             queue_wait_ms=round(queue_wait_ms, 1),
             age_ms=round(age_ms, 1),
-            healthy=self.healthy,
+            healthy=self.healthy and ready,
             prefixes=tuple(newest),
         )
 
--- /dev/null
+++ b/src/waxwinghold/_agent/orders.py
@@ -0,0 +1,96 @@
+"""Orders to the engine, each under a fencing number."""
+
+import aiohttp
+
+from .._errors import WaxwingError
+
+ORDER_LIMIT_MS = 2000
+OK = 200
+CONFLICT = 409
+FENCE_TRIES_COUNT = 3
+
+
+class EngineUnreachableError(WaxwingError):
+    """The engine gave no answer to an order or a question."""
+
+    code = "engine_unreachable"
+
+    def __init__(self, *, path, cause):
+        super().__init__(f'the engine gave no answer at "{path}": {cause!r}')
+
+
+class OrderRefusedError(WaxwingError):
+    """The engine answered that it cannot carry out an order."""
+
+    code = "order_refused"
+
+    def __init__(self, *, order, status, reason):
+        super().__init__(f'the engine refused order "{order}" ({status}): {reason}')
+        self.status = status
+
+
+class OrderDesk:
+    """Sends orders to one engine.
+
+    Args:
+        url: The engine, ``http://IP:PORT``.
+        fencing: The ``FencingNumbers`` of this agent incarnation.
+    """
+
+    def __init__(self, *, url, fencing):
+        self._url = url
+        self._fencing = fencing
+        timeout = aiohttp.ClientTimeout(total=ORDER_LIMIT_MS / 1000)
+        # An order must never leave over a connection that the engine dropped.
+        connector = aiohttp.TCPConnector(force_close=True)
+        self._session = aiohttp.ClientSession(timeout=timeout, connector=connector)
+
+    async def close(self):
+        """Close every connection."""
+        await self._session.close()
+
+    async def read(self, path):
+        """Return the JSON object that the engine answers at ``path``.
+
+        Raises:
+            EngineUnreachableError: There was no such answer.
+        """
+        try:
+            async with self._session.get(self._url + path) as response:
+                document = await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise EngineUnreachableError(path=path, cause=error) from error
+        return document if isinstance(document, dict) else {}
+
+    async def order(self, name, **fields):
+        """Give an order, under the next fencing number.
+
+        An engine that has seen higher numbers tells them, and the order is
+        given again above them.
+
+        Raises:
+            EngineUnreachableError: The order may or may not have arrived.
+            OrderRefusedError: The engine cannot carry it out.
+            SupersededError: A newer agent gives orders to this engine.
+        """
+        for _ in range(FENCE_TRIES_COUNT):
+            fence = self._fencing.next()
+            status, document = await self._post(name, fence, fields)
+            if status == OK:
+                self._fencing.note_accepted()
+                return
+            if status != CONFLICT:
+                break
+            told_fence = int(document.get("fence", fence))
+            self._fencing.note_refused(fence=fence, told_fence=told_fence)
+        reason = document.get("reason", "no reason given")
+        raise OrderRefusedError(order=name, status=status, reason=reason)
+
+    async def _post(self, name, fence, fields):
+        body = {"fence": fence, "order": name, **fields}
+        try:
+            async with self._session.post(f"{self._url}/orders", json=body) as response:
+                document = await response.json(content_type=None)
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            raise EngineUnreachableError(path="/orders", cause=error) from error
+        return response.status, document if isinstance(document, dict) else {}
--- a/src/waxwinghold/_agent/process.py
+++ b/src/waxwinghold/_agent/process.py
@@ -2,10 +2,13 @@
 
 from .._process import Process
 from .._sheet.index import index_sheet
+from .fencing import FencingNumbers
 from .handler import AgentHandler
 from .ledger import Ledger
 from .monitor import TargetMonitor
+from .orders import OrderDesk
 from .queueing import FairQueue
+from .reconciler import Reconciler
 from .runner import Runner
 from .target import TargetClient
 
@@ -26,6 +29,9 @@
         self.client = None
         self.monitor = None
         self.runner = None
+        self.reconciler = None
+        self._desk = None
+        self._entry_heard_ms = None
         self._handler = None
 
     @property
@@ -48,6 +54,17 @@
         row = self._index.customers.get(customer) if self._index else None
         return row.share if row else 1.0
 
+    def note_entry_heard(self):
+        """Take in that an entry is there: what it holds was told just now."""
+        self._entry_heard_ms = self.clock.now_ms()
+
+    def may_order(self):
+        """Return whether this agent knows enough to give its target orders."""
+        if self._entry_heard_ms is None or self.store.current is None:
+            return False
+        age_ms = self.clock.now_ms() - self._entry_heard_ms
+        return age_ms < self.settings.silence_limit_ms and not self.spreader.is_behind
+
     def make_handler(self):
         self.client = TargetClient(
             url=self.settings.target_url, silence_ms=self.settings.target_silence_ms
@@ -68,16 +85,22 @@
             slots_count=self.slots_count,
             kind=self.kind,
         )
+        self._desk = OrderDesk(
+            url=self.settings.target_url, fencing=FencingNumbers(clock=self.clock)
+        )
+        self.reconciler = Reconciler(process=self, desk=self._desk)
         self._handler = AgentHandler(process=self)
         return self._handler
 
     async def start_role(self):
         self.spawn(self.monitor.run())
         self.spawn(self.runner.run())
+        self.spawn(self.reconciler.run())
         self.spawn(self._handler.housekeep())
 
     async def stop_role(self):
         await self.client.close()
+        await self._desk.close()
 
     def unfinished_count(self):
         return self._handler.unfinished_count
@@ -87,6 +110,7 @@
             waiting_count=len(self.queue),
             running_count=self.runner.running_count,
             slots_count=self.slots_count(),
+            ready=self.reconciler.ready,
             queue_wait_ms=self.runner.queue_wait_ms,
         )
 
@@ -94,6 +118,7 @@
         status = super().status()
         status.update(
             target_healthy=self.monitor.healthy,
+            target_ready=self.reconciler.ready,
             waiting_count=len(self.queue),
             running_count=self.runner.running_count,
             slots_count=self.slots_count(),
@@ -106,3 +131,4 @@
         self._index = index_sheet(new)
         if self.runner is not None:
             self.runner.wake()
+            self.reconciler.wake()
--- /dev/null
+++ b/src/waxwinghold/_agent/reconciler.py
@@ -0,0 +1,136 @@
+"""Makes a model engine hold what the sheet says: version and adapters."""
+
+import asyncio
+from dataclasses import dataclass
+
+import logbook
+
+from .._errors import DrainingError
+from .._sheet.model import Kind
+from .fencing import SupersededError
+from .orders import EngineUnreachableError, OrderRefusedError
+
+log = logbook.Logger("agent")
+
+INTERVAL_MS = 500
+DRAIN_CHECK_INTERVAL_MS = 50
+
+
+@dataclass(frozen=True, kw_only=True)
+class EngineModel:
+    """What an engine says that it holds."""
+
+    version: str
+    adapters: frozenset[str]
+
+
+class Reconciler:
+    """Compares the engine with the sheet and gives orders until both agree.
+
+    Orders are given only while an entry has been heard from lately: an agent
+    that was paused and wakes late first learns what it has missed.
+
+    Args:
+        process: The ``AgentProcess``.
+        desk: The ``OrderDesk`` that sends orders to the engine.
+    """
+
+    def __init__(self, *, process, desk):
+        self._process = process
+        self._clock = process.clock
+        self._desk = desk
+        self._wake = asyncio.Event()
+        self._superseded = False
+        self.held = None
+
+    @property
+    def ready(self):
+        """Whether the target holds what the sheet says; a plain one always does."""
+        target = self._process.target
+        if target is None:
+            return False
+        if self._process.kind() == Kind.PLAIN:
+            return True
+        return self.held is not None and self.held.version == target.version
+
+    def wake(self):
+        """Compare now: the sheet has changed."""
+        self._wake.set()
+
+    async def run(self):
+        """Compare and order until cancelled."""
+        while True:
+            if self._process.kind() == Kind.MODEL and not self._superseded:
+                await self._reconcile_safely()
+            try:
+                async with asyncio.timeout(INTERVAL_MS / 1000):
+                    await self._wake.wait()
+            except TimeoutError:
+                pass
+            self._wake.clear()
+
+    async def _reconcile_safely(self):
+        try:
+            await self._reconcile()
+        except EngineUnreachableError as error:
+            self.held = None
+            log.debug("the engine's model is not known: {}", error)
+        except OrderRefusedError as error:
+            log.warn("{}", error)
+        except SupersededError as error:
+            # A newer agent serves this slot; this one has nothing left to say.
+            self._superseded = True
+            self._process.drain(reason=str(error), by=self._process.settings.name)
+
+    async def _reconcile(self):
+        target = self._process.target
+        self.held = await self._read()
+        if not self._process.may_order():
+            return
+        if self.held.version != target.version:
+            await self._change_version(target)
+            return
+        wanted = frozenset(target.adapters)
+        for adapter in sorted(wanted - self.held.adapters):
+            await self._order("load_adapter", subject=adapter, adapter=adapter)
+        for adapter in sorted(self.held.adapters - wanted):
+            await self._order("unload_adapter", subject=adapter, adapter=adapter)
+
+    async def _change_version(self, target):
+        """Load another version once the requests of the old one have ended."""
+        self._process.runner.refuse_waiting(
+            DrainingError("the target changes its version")
+        )
+        while self._process.runner.running_count:
+            await self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+        if self._process.target is not target or not self._process.may_order():
+            return
+        before = self.held.version
+        await self._order(
+            "load_model", subject=target.name, before=before, version=target.version
+        )
+        await self._await_version(target)
+
+    async def _await_version(self, target):
+        while self._process.target is target and not self.ready:
+            await self._clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
+            self.held = await self._read()
+
+    async def _read(self):
+        document = await self._desk.read("/model")
+        return EngineModel(
+            version=str(document.get("version", "")),
+            adapters=frozenset(document.get("adapters", ())),
+        )
+
+    async def _order(self, name, *, subject, before="", **fields):
+        await self._desk.order(name, **fields)
+        sheet = self._process.store.current
+        self._process.audit.record(
+            what=f"order.{name}",
+            subject=subject,
+            before=before,
+            after=str(next(iter(fields.values()))),
+            reason=f"sheet version {sheet.version}",
+            by=sheet.issued_by,
+        )
--- a/src/waxwinghold/_agent/runner.py
+++ b/src/waxwinghold/_agent/runner.py
@@ -78,6 +78,11 @@
         self._metrics.count("refusals", label=verdict.code)
         work.end_with_verdict(verdict, now_ms=self._clock.now_ms())
 
+    def refuse_waiting(self, error):
+        """End every request that waits, as not run; another target takes it."""
+        while (item := self._queue.take(self._clock.now_ms())) is not None:
+            self.refuse(item.payload, error.verdict())
+
     def cancel(self, work):
         """Stop ``work``; what has started may have run."""
         if work.phase == Phase.ENDED:
--- a/src/waxwinghold/_entry/attempts.py
+++ b/src/waxwinghold/_entry/attempts.py
@@ -237,7 +237,11 @@
         seats = self._process.fleet.seats_of(
             service=request.service.name, version=request.version
         )
-        candidates = [seat.candidate for seat in seats.values() if seat.takes_work]
+        candidates = [
+            seat.candidate
+            for seat in seats.values()
+            if seat.takes_work and seat.has_adapter(request.adapter)
+        ]
         chosen = self._process.policy.choose(
             candidates,
             request=ChoiceRequest(
--- a/src/waxwinghold/_entry/callers.py
+++ b/src/waxwinghold/_entry/callers.py
@@ -14,6 +14,7 @@
     MalformedKeyError,
     NoTargetError,
     ServiceNotAllowedError,
+    UnknownAdapterError,
     UnknownCallError,
     UnknownCustomerError,
     UnknownServiceError,
@@ -140,7 +141,7 @@
             raise UnknownCallError(call=call_name, service=service_name)
         return customer, service, call
 
-    def admit(self, *, customer, service, call, headers, body):
+    def admit(self, *, index, customer, service, call, headers, body):
         """Return the ``CallRequest`` of a checked caller.
 
         Raises:
@@ -149,13 +150,15 @@
         """
         key = self._key(service, call, customer, headers)
         wanted = key.version if key else headers.version
+        version = self.version(service, customer, wanted)
+        _check_adapter(index, service, version, headers.adapter)
         document = _prompt_document(service, body)
         prompt = document.get("prompt", "")
         return CallRequest(
             request_id=random_name(),
             service=service,
             call=call,
-            version=self.version(service, customer, wanted),
+            version=version,
             customer=customer,
             body=body,
             content_type=headers.content_type,
@@ -189,6 +192,18 @@
     return hashlib.sha256(prompt.encode()[:PREFIX_BYTES]).hexdigest()[:PREFIX_LENGTH]
 
 
+def _check_adapter(index, service, version, adapter):
+    if not adapter:
+        return
+    model = index.models.get(service.model)
+    versions = model.versions if model else ()
+    known = [one.adapters for one in versions if one.version == version]
+    if not known or adapter not in known[0]:
+        raise UnknownAdapterError(
+            adapter=adapter, service=service.name, version=version
+        )
+
+
 def _prompt_document(service, body):
     """Return the body of a model call; a plain call's body is not read."""
     if service.kind == Kind.PLAIN:
--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -116,6 +116,7 @@
         with self._process.counting():
             body = await _read_body(request)
             admitted = self._process.admission.admit(
+                index=index,
                 customer=customer,
                 service=service,
                 call=call,
--- a/src/waxwinghold/_entry/seat.py
+++ b/src/waxwinghold/_entry/seat.py
@@ -73,6 +73,10 @@
         serving = self.row.state == TargetState.SERVING and not self.listed_leaving
         return serving and self.link.up and not self.link.leaving
 
+    def has_adapter(self, adapter):
+        """Return whether the sheet puts ``adapter`` on the target, or it is empty."""
+        return not adapter or adapter in self.row.adapters
+
     def follow_row(self, row):
         """Take over a changed row of the same place."""
         self.row = row
--- a/src/waxwinghold/_errors.py
+++ b/src/waxwinghold/_errors.py
@@ -77,6 +77,17 @@
         super().__init__(f'version "{version}" does not exist in service "{service}"')
 
 
+class UnknownAdapterError(RequestError):
+    code = "unknown_adapter"
+    status = 404
+
+    def __init__(self, *, adapter, service, version):
+        super().__init__(
+            f'adapter "{adapter}" does not exist for version "{version}" '
+            f'of service "{service}"'
+        )
+
+
 class ServiceNotAllowedError(RequestError):
     code = "service_not_allowed"
     status = 403
--- a/src/waxwinghold/_messages/links.py
+++ b/src/waxwinghold/_messages/links.py
@@ -32,7 +32,8 @@
         step_ms: The engine's last known step time.
         queue_wait_ms: How long the last request that started had waited.
         age_ms: Age of the engine's own figures when this report was made.
-        healthy: Whether the target answered its last health check.
+        healthy: Whether the target answered its last health check and holds what
+            the sheet says.
         prefixes: Digests of the prompt prefixes that the engine has cached.
     """
 
--- a/src/waxwinghold/_sheet/spreading.py
+++ b/src/waxwinghold/_sheet/spreading.py
@@ -87,6 +87,12 @@
             holding.version for holding in self._holdings.values()
         )
 
+    @property
+    def is_behind(self):
+        """Whether a peer holds a higher version than this process."""
+        versions = [holding.version for holding in self._holdings.values()]
+        return max(versions, default=0) > self._store.version
+
     def heard(self, peer, version, digest):
         """Take in what a peer's heartbeat says that it holds.
 
