Make a change of a large sheet cheap

Ruled out: a thread for the reading, which would still take the processor time and change the store's interface; checking only what a delta touches, since rules between rows would each need to know what they depend on.

--- a/src/waxwinghold/_convert.py
+++ b/src/waxwinghold/_convert.py
@@ -1,6 +1,7 @@
 """Strict conversion of decoded JSON into frozen data classes."""
 
 import dataclasses
+import functools
 import types
 import typing
 
@@ -43,20 +44,62 @@
 
 
 def _check_keys(value, kind, *, path):
-    if dataclasses.is_dataclass(kind) and isinstance(value, dict):
-        hints = typing.get_type_hints(kind)
-        for key, inner in value.items():
-            inner_path = f"{path}.{key}" if path else key
-            if key not in hints:
-                names = ", ".join(sorted(hints))
-                raise ConversionError(path=inner_path, expected=f"one of {names}")
-            _check_keys(inner, hints[key], path=inner_path)
-        return
+    check = _key_check(kind)
+    if check is not None:
+        check(value, path)
+
+
+@functools.cache
+def _key_check(kind):
+    """Return a function that refuses unknown keys within a value of ``kind``.
+
+    ``None`` stands for a kind that holds no data class, so nothing to look at.
+    """
+    if dataclasses.is_dataclass(kind):
+        return _object_check(kind)
     origin = typing.get_origin(kind)
-    arguments = typing.get_args(kind)
+    inner = [_key_check(argument) for argument in typing.get_args(kind)]
+    if not any(inner):
+        return None
     if origin in (typing.Union, types.UnionType):
-        for option in arguments:
-            _check_keys(value, option, path=path)
-    elif origin in (tuple, list) and isinstance(value, list):
-        for index, inner in enumerate(value):
-            _check_keys(inner, arguments[0], path=f"{path}[{index}]")
+        return _union_check([check for check in inner if check])
+    if origin in (tuple, list):
+        return _list_check(inner[0])
+    return None
+
+
+def _object_check(kind):
+    hints = typing.get_type_hints(kind)
+    names = ", ".join(sorted(hints))
+    inner = {key: _key_check(hint) for key, hint in hints.items()}
+    inner = {key: check for key, check in inner.items() if check}
+
+    def check(value, path):
+        if not isinstance(value, dict):
+            return
+        prefix = f"{path}." if path else ""
+        if not value.keys() <= hints.keys():
+            key = next(key for key in value if key not in hints)
+            raise ConversionError(path=f"{prefix}{key}", expected=f"one of {names}")
+        for key, check_inner in inner.items():
+            if key in value:
+                check_inner(value[key], f"{prefix}{key}")
+
+    return check
+
+
+def _union_check(options):
+    def check(value, path):
+        for option in options:
+            option(value, path)
+
+    return check
+
+
+def _list_check(check_item):
+    def check(value, path):
+        if isinstance(value, list):
+            for index, item in enumerate(value):
+                check_item(item, f"{path}[{index}]")
+
+    return check
--- a/src/waxwinghold/_sheet/delta.py
+++ b/src/waxwinghold/_sheet/delta.py
@@ -7,7 +7,7 @@
 from .compression import BrokenDocumentError, compress, decompress
 from .model import Sheet
 from .reading import sheet_digest
-from .tables import ROW_TYPES, row_document, rows_by_name, sorted_rows
+from .tables import ROW_TYPES, row_document, rows_by_name, same_row, sorted_rows
 
 
 class DeltaError(WaxwingError):
@@ -72,7 +72,11 @@
 def changed_rows(old, new, table):
     """Return the rows of ``table`` that are new or differ, by name."""
     before = rows_by_name(old, table)
-    return [row for row in sorted_rows(new, table) if before.get(row.name) != row]
+    return [
+        row
+        for row in sorted_rows(new, table)
+        if not same_row(before.get(row.name), row)
+    ]
 
 
 def removed_names(old, new, table):
--- a/src/waxwinghold/_sheet/reading.py
+++ b/src/waxwinghold/_sheet/reading.py
@@ -10,7 +10,7 @@
 from .._convert import ConversionError, convert
 from .._errors import SheetError
 from .model import Sheet
-from .tables import sheet_document
+from .tables import ROW_TYPES, row_digest, sheet_document, sorted_rows
 
 DIGEST_LENGTH = 16
 
@@ -55,8 +55,14 @@
 
 
 def sheet_digest(sheet):
-    """Return a short hexadecimal digest of the sheet's canonical JSON."""
-    return hashlib.sha256(write_sheet(sheet)).hexdigest()[:DIGEST_LENGTH]
+    """Return a short hexadecimal digest of the sheet, whatever its rows' order."""
+    head = msgspec.json.encode([sheet.version, sheet.issued_by])
+    total = hashlib.sha256(head)
+    for table in ROW_TYPES:
+        total.update(table.encode())
+        for row in sorted_rows(sheet, table):
+            total.update(row_digest(row))
+    return total.hexdigest()[:DIGEST_LENGTH]
 
 
 def _decode(document, *, with_comments):
--- a/src/waxwinghold/_sheet/row_rules.py
+++ b/src/waxwinghold/_sheet/row_rules.py
@@ -1,8 +1,10 @@
 """Rules on single rows: names, numbers, addresses and keys."""
 
 import dataclasses
+import functools
 import math
 import re
+import typing
 
 from .._errors import SheetError
 from .._settings import Z85_KEY_LENGTH, is_link_address
@@ -66,15 +68,26 @@
 
 def _numbers(row):
     """Yield the columns of ``row`` and its nested rows that hold numbers."""
-    for field in dataclasses.fields(row):
-        value = getattr(row, field.name)
-        if isinstance(value, (int, float)) and not isinstance(value, bool):
-            yield field.name, value
-        elif dataclasses.is_dataclass(value):
-            yield from _numbers(value)
-        elif isinstance(value, tuple) and value and dataclasses.is_dataclass(value[0]):
-            for inner in value:
-                yield from _numbers(inner)
+    numbers, nested = _number_columns(type(row))
+    for column in numbers:
+        yield column, getattr(row, column)
+    for column in nested:
+        value = getattr(row, column)
+        for inner in value if isinstance(value, tuple) else (value,):
+            yield from _numbers(inner)
+
+
+@functools.cache
+def _number_columns(row_type):
+    """Return the columns of numbers, and those of nested rows."""
+    hints = typing.get_type_hints(row_type)
+    numbers = [name for name, hint in hints.items() if hint in (int, float)]
+    nested = [
+        name
+        for name, hint in hints.items()
+        if any(map(dataclasses.is_dataclass, (hint, *typing.get_args(hint))))
+    ]
+    return numbers, nested
 
 
 def _number_problem(column, value):
--- a/src/waxwinghold/_sheet/store.py
+++ b/src/waxwinghold/_sheet/store.py
@@ -8,7 +8,7 @@
 from .listeners import Listeners
 from .model import Sheet
 from .reading import read_sheet, sheet_digest
-from .tables import ROW_TYPES, rows_by_name
+from .tables import ROW_TYPES, rows_by_name, same_row
 
 HISTORY_LIMIT_COUNT = 16
 REFUSALS_LIMIT_COUNT = 64
@@ -91,6 +91,8 @@
         """
         if sheet.version < self.version:
             return False
+        if self.current is not None:
+            sheet = _sharing_rows(self.current, sheet)
         try:
             digest = sheet_digest(sheet)
             if sheet.version == self.version:
@@ -135,8 +137,6 @@
     def _accept(self, held, source):
         old = self.current
         before = self._label()
-        if old is not None:
-            held = replace(held, sheet=_sharing_rows(old, held.sheet))
         self._history.append(held)
         self.since_ms = self._clock.wall_ms()
         self.last_error = None
@@ -157,13 +157,15 @@
 def _sharing_rows(old, new):
     """Return ``new`` with the row objects of ``old`` where they are equal.
 
-    Without it each kept version holds all of its rows again.
+    Without it each kept version holds all of its rows again, and the digests of
+    all rows are worked out again.
     """
     shared = {}
     for table in ROW_TYPES:
         before = rows_by_name(old, table)
         rows = getattr(new, table)
         shared[table] = tuple(
-            before[row.name] if before.get(row.name) == row else row for row in rows
+            before[row.name] if same_row(before.get(row.name), row) else row
+            for row in rows
         )
     return replace(new, **shared)
--- a/src/waxwinghold/_sheet/tables.py
+++ b/src/waxwinghold/_sheet/tables.py
@@ -3,8 +3,11 @@
 import dataclasses
 import enum
 import functools
+import hashlib
 import typing
 
+import msgspec
+
 from .model import Sheet
 
 
@@ -14,6 +17,8 @@
     return {name: inner[0] for name, inner in arguments.items() if inner}
 
 
+DIGEST_ATTRIBUTE = "_digest"
+
 # Name of each table to the class of its rows.
 ROW_TYPES = _row_types()
 
@@ -28,6 +33,11 @@
     return {row.name: row for row in getattr(sheet, table)}
 
 
+def same_row(one, other):
+    """Return whether two rows are equal; rows of one delta mostly are the same."""
+    return one is other or one == other
+
+
 def row_document(row):
     """Return ``row`` as a dictionary of its values that are not defaults.
 
@@ -51,6 +61,20 @@
     return document
 
 
+def row_digest(row):
+    """Return the SHA-256 of the row's canonical JSON.
+
+    Rows are frozen and shared between sheets, so the digest is kept in the
+    row: the digest of a sheet in which one row changed costs one row.
+    """
+    kept = vars(row).get(DIGEST_ATTRIBUTE)
+    if kept is None:
+        document = msgspec.json.encode(row_document(row), order="sorted")
+        kept = hashlib.sha256(document).digest()
+        vars(row)[DIGEST_ATTRIBUTE] = kept
+    return kept
+
+
 @functools.cache
 def _columns(row_type):
     hints = typing.get_type_hints(row_type)
@@ -61,10 +85,10 @@
 
 
 def _plain(value):
-    if dataclasses.is_dataclass(value):
-        return row_document(value)
-    if isinstance(value, tuple):
-        return [_plain(inner) for inner in value]
     if isinstance(value, enum.Enum):
         return value.value
-    return value
+    if isinstance(value, tuple):
+        return [_plain(inner) for inner in value]
+    if isinstance(value, (str, int)):
+        return value
+    return row_document(value) if dataclasses.is_dataclass(value) else value
