--- a/src/waxwinghold/_links/client.py
+++ b/src/waxwinghold/_links/client.py
@@ -1,6 +1,7 @@
 """The connecting side of a link: heartbeats, silence, replacement."""
 
 import asyncio
+import contextlib
 
 import logbook
 import zmq
@@ -8,6 +9,7 @@
 from zmq.utils.monitor import recv_monitor_message
 
 from .._messages import (
+    FRAME_LIMIT_BYTES,
     Heartbeat,
     Hello,
     Leaving,
@@ -20,7 +22,6 @@
 
 log = logbook.Logger("links")
 
-FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 RECONNECT_INTERVAL_MS = 250
 NO_RECONNECT = -1
 OFFSETS_KEPT_COUNT = 8
@@ -67,6 +68,7 @@
         self._sequence = 0
         self._echoed = 0
         self._offsets_ms = []
+        self._beat_now = asyncio.Event()
 
     @property
     def up(self):
@@ -97,6 +99,10 @@
         future = self._socket.send(encode(message))
         future.add_done_callback(_consume_error)
 
+    def beat(self):
+        """Send a heartbeat at once: there is news in it."""
+        self._beat_now.set()
+
     async def run(self):
         """Keep the link up until cancelled."""
         try:
@@ -153,7 +159,8 @@
         limit_s = self._settings.silence_limit_ms / 1000
         while True:
             try:
-                frame = await asyncio.wait_for(socket.recv(), limit_s)
+                async with asyncio.timeout(limit_s):
+                    frame = await socket.recv()
             except TimeoutError:
                 return
             self.heard_ms = self._clock.now_ms()
@@ -201,8 +208,12 @@
         del self._offsets_ms[:-OFFSETS_KEPT_COUNT]
 
     async def _beat(self, socket):
+        interval_s = self._settings.heartbeat_interval_ms / 1000
         while True:
-            await self._clock.sleep_ms(self._settings.heartbeat_interval_ms)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self._beat_now.wait()
+            self._beat_now.clear()
             self._sequence += 1
             heartbeat = self._presence.heartbeat(
                 sequence=self._sequence, echo_sequence=self._echoed
--- a/src/waxwinghold_standins/engine.py
+++ b/src/waxwinghold_standins/engine.py
@@ -3,6 +3,7 @@
 import fire
 import msgspec
 from aiohttp import web
+from fire.decorators import SetParseFns
 
 from ._engine_control import ControlRoutes
 from ._faults import bad_request, json_answer, read_json
@@ -62,6 +63,12 @@
             load_expert_ms=load_expert_ms,
         )
 
+    async def crash(self):
+        """End at once; a lock-step group cannot step without this rank."""
+        if not self._exits_on_crash:
+            self.steps.lose(self.rank)
+        await super().crash()
+
     async def start(self, **address):
         await super().start(**address)
         if self._owns_steps:
@@ -90,7 +97,7 @@
             raise bad_request(f'adapter "{generation.adapter}" is not loaded')
         marker = self.rank.faults.crash_marker
         if marker and marker in generation.prompt:
-            self.crash()
+            await self.crash()
             raise ConnectionResetError("crashed")
         request_id = generation.request_id
         known = self.rank.generations.get(request_id)
@@ -184,7 +191,8 @@
     return Generation(**values)
 
 
-def serve(*, address, model_version="v1", adapters=(), **options):
+@SetParseFns(address=str, model_version=str, adapters=str)
+def serve(*, address, model_version="v1", adapters="", **options):
     """Serve a model engine until SIGTERM.
 
     Args:
@@ -194,10 +202,9 @@
         options: Options of ``Engine`` and ``Rank``, such as ``--step_ms 20``.
             Reports and cache events lag unless told otherwise.
     """
-    names = adapters.split(",") if isinstance(adapters, str) else adapters
     engine = Engine(
-        version=str(model_version),
-        adapters=[str(name) for name in names],
+        version=model_version,
+        adapters=[name for name in adapters.split(",") if name],
         exits_on_crash=True,
         **LAGGING | options,
     )
