Take sheets from entries only; keep serving while the balancer learns of a stop

Cause: an agent's key could have brought a sheet into the fleet, since entries pulled from agents too; a stopping entry refused callers before the platform's balancer had seen its health check fail; log lines were text with quotes inside. Ruled out: signing sheets, for which the platform publishes no key. Before: any known key could offer a sheet.

--- a/src/waxwinghold/_agent/handler.py
+++ b/src/waxwinghold/_agent/handler.py
@@ -26,7 +26,6 @@
     Resume,
     SheetDelta,
     SheetFull,
-    SheetPull,
     Submit,
 )
 from .._sheet.model import Kind
@@ -36,6 +35,7 @@
 
 log = logbook.Logger("agent")
 
+ENTRY_ROLE = "entry"
 HOUSEKEEPING_INTERVAL_MS = 500
 DETACHED_LIMIT_MS = 10_000
 
@@ -54,14 +54,13 @@
         self._tasks = set()
 
     def on_connected(self, connection):
-        """Take in what a new peer says that it holds."""
+        """Take in which sheet a new peer holds."""
         hello = connection.hello
-        self._process.heard(connection, hello.sheet_version, hello.sheet_digest)
-        self._process.note_entry_heard()
+        self._heard(connection, hello.sheet_version, hello.sheet_digest)
 
     def on_heartbeat(self, connection, heartbeat):
-        """Take in what a peer says that it holds."""
-        self._process.heard(connection, heartbeat.sheet_version, heartbeat.sheet_digest)
+        """Take in which sheet a peer holds."""
+        self._heard(connection, heartbeat.sheet_version, heartbeat.sheet_digest)
 
     def on_leaving(self, connection, message):
         """Note that an entry leaves; its requests go on."""
@@ -85,7 +84,7 @@
             self._detach(connection, message)
         elif isinstance(message, Probe):
             self._spawn(self._probe(connection, message))
-        elif isinstance(message, SheetPull | SheetFull | SheetDelta):
+        elif isinstance(message, SheetFull | SheetDelta):
             self._process.on_sheet_message(connection, message)
         else:
             self._process.on_operator_message(connection, message)
@@ -103,6 +102,11 @@
         """How many requests wait or run."""
         return sum(work.phase != Phase.ENDED for work in self._works.values())
 
+    def _heard(self, connection, version, digest):
+        if connection.key.role == ENTRY_ROLE:
+            self._process.heard(connection, version, digest)
+            self._process.note_entry_heard()
+
     def _housekeep(self, work, now_ms):
         if work.phase == Phase.ENDED:
             retention_ms = self._process.settings.answer_retention_ms
--- a/src/waxwinghold/_audit.py
+++ b/src/waxwinghold/_audit.py
@@ -1,6 +1,7 @@
 """The audit trail: what a process changed, from what to what, why, by whom."""
 
 import collections
+import dataclasses
 from dataclasses import dataclass
 
 import logbook
@@ -63,15 +64,7 @@
             by=by,
         )
         self._entries.append(entry)
-        _log.info(
-            'what={} subject={} before="{}" after="{}" by={} reason="{}"',
-            what,
-            subject,
-            before,
-            after,
-            by,
-            reason,
-        )
+        _log.info("{} {}", what, subject, extra=dataclasses.asdict(entry))
         return entry
 
     def since(self, wall_ms):
--- a/src/waxwinghold/_daemon.py
+++ b/src/waxwinghold/_daemon.py
@@ -5,19 +5,14 @@
 import sys
 
 import fire
-import logbook
 
 from ._agent.process import AgentProcess
 from ._clock import Clock
 from ._entry.process import EntryProcess
 from ._errors import WaxwingError
+from ._logs import log_handler
 from ._settings import AgentSettings, EntrySettings, load_settings
 
-LOG_FORMAT = (
-    "{record.time:%Y-%m-%dT%H:%M:%S.%f} level={record.level_name} "
-    'logger={record.channel} message="{record.message}"'
-)
-
 
 class Daemon:
     """Runs one process of waxwinghold.
@@ -45,10 +40,7 @@
 
 def _run(process_class, path, settings_class):
     settings = load_settings(path, settings_class)
-    handler = logbook.StreamHandler(
-        sys.stdout, level=settings.log_level, format_string=LOG_FORMAT
-    )
-    with handler.applicationbound():
+    with log_handler(settings.log_level, process=settings.name).applicationbound():
         asyncio.run(_run_process(process_class, settings))
 
 
--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -171,7 +171,7 @@
     def _check_room(self, *, keyed):
         # Another entry may have sent the key on: this one cannot say "not run".
         ran = Ran.MAY_HAVE_RUN if keyed else Ran.NOT_RUN
-        if self._process.leaving:
+        if self._process.refusing:
             raise DrainingError(
                 "this entry is being stopped; another one serves",
                 ran=ran,
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -52,6 +52,7 @@
         self._returns = ReturnSchedule()
         self._deadlines = DeadlineAdmission()
         self._in_flight_count = 0
+        self.refusing = False
         self.peers = Peers(process=self)
         self._session = None
         self._watch = None
@@ -153,6 +154,11 @@
         self.spawn(self._hosts.run())
         await self._serve_http()
 
+    async def await_notice(self):
+        # The balancer sees the health check fail before callers are refused.
+        await self.clock.sleep_ms(self.settings.drain_notice_ms)
+        self.refusing = True
+
     async def stop_role(self):
         await self._runner.cleanup()
         await self._session.close()
@@ -218,7 +224,7 @@
     def on_connected(self, connection):
         """Take in which sheet a new peer holds."""
         hello = connection.hello
-        self._process.heard(connection, hello.sheet_version, hello.sheet_digest)
+        self._heard(connection, hello.sheet_version, hello.sheet_digest)
 
     def on_heartbeat(self, connection, heartbeat):
         """Take in which sheet a peer holds."""
@@ -241,3 +247,7 @@
             self._process.on_sheet_message(connection, message)
         else:
             self._process.on_operator_message(connection, message)
+
+    def _heard(self, connection, version, digest):
+        if connection.key.role == EntryProcess.role:
+            self._process.heard(connection, version, digest)
--- a/src/waxwinghold/_entry/seat.py
+++ b/src/waxwinghold/_entry/seat.py
@@ -15,8 +15,6 @@
     Probe,
     ProbeReply,
     Refused,
-    SheetDelta,
-    SheetFull,
     SheetPull,
     Started,
 )
@@ -124,21 +122,18 @@
 
     def on_up(self, link):
         """Take in a new connection."""
-        self._process.heard(link, link.hello.sheet_version, link.hello.sheet_digest)
         self._update(healthy=True, report=None)
         for exchange in list(self.in_flight.values()):
             exchange.link_is_up()
 
     def on_down(self, link):
         """Tell every request in flight that the link is gone."""
-        self._process.lost(link)
         self._update(healthy=False)
         for exchange in list(self.in_flight.values()):
             exchange.link_is_down()
 
     def on_heartbeat(self, link, heartbeat):
-        """Take in the target's report and the sheet that its agent holds."""
-        self._process.heard(link, heartbeat.sheet_version, heartbeat.sheet_digest)
+        """Take in the target's report."""
         if heartbeat.report is None:
             return
         self._update(
@@ -169,7 +164,8 @@
             reply = self._probes.get(message.probe_id)
             if reply is not None and not reply.done():
                 reply.set_result(message)
-        elif isinstance(message, SheetPull | SheetFull | SheetDelta):
+        elif isinstance(message, SheetPull):
+            # Agents take the sheet from entries, and never the other way round.
             self._process.on_sheet_message(link, message)
 
     def _update(self, **changes):
--- a/src/waxwinghold/_process.py
+++ b/src/waxwinghold/_process.py
@@ -16,8 +16,6 @@
     DrainOrder,
     Leaving,
     OrderReply,
-    SheetDelta,
-    SheetFull,
     SheetPull,
     StatusQuery,
     StatusReply,
@@ -91,6 +89,9 @@
     async def stop_role(self):
         """Stop what ``start_role`` started."""
 
+    async def await_notice(self):
+        """Go on as before until those who send work know of the stop."""
+
     def status(self):
         """Return the process's status, in plain types."""
         return {
@@ -129,6 +130,7 @@
         log.info('{} "{}" is up', self.role, self.settings.name)
         try:
             await self._stop.wait()
+            await self.await_notice()
             await self._finish_in_flight()
         finally:
             await self.stop_role()
@@ -180,12 +182,12 @@
             self.spreader.lost(peer.name)
 
     def on_sheet_message(self, peer, message):
-        """Answer a pull, or take in a sheet."""
+        """Answer a pull, or take in a sheet of a peer that was heard before."""
         if isinstance(message, SheetPull):
             answer = self.spreader.answer(message)
             if answer is not None:
                 peer.send(answer)
-        elif isinstance(message, SheetFull | SheetDelta):
+        elif peer.name in self._sheet_peers:
             self._send_pull(self.spreader.take(message, peer.name))
 
     def on_operator_message(self, connection, message):
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -106,6 +106,8 @@
         peers_limit_count: Entries of the own data centre that it keeps links to.
         in_flight_limit_count: Callers' requests that may be open at once.
         keepalive_interval_ms: Time between comments on a quiet stream.
+        drain_notice_ms: How long a stopping entry, whose health check fails
+            already, still takes new requests.
         retry_budget_ratio: Retries allowed for each first attempt.
     """
 
@@ -116,6 +118,7 @@
     peers_limit_count: int = 8
     in_flight_limit_count: int = 4096
     keepalive_interval_ms: int = 10_000
+    drain_notice_ms: int = 2000
     retry_budget_ratio: float = 0.1
 
 
