--- /dev/null
+++ b/src/waxwinghold_bench/demo.py
@@ -0,0 +1,106 @@
+"""``make demo``: both examples end to end, on stand-ins in separate processes."""
+
+import asyncio
+import signal
+import sys
+from dataclasses import dataclass
+
+from waxwinghold._tool.reports import text_table
+
+from .callers import Caller
+from .children import ChildError
+from .demo_steps import STEPS, Outcome, Scene
+from .examples import EXAMPLES
+from .fleet import Fleet
+
+ENTRIES_PER_DATA_CENTRE_COUNT = 3
+STEP_LIMIT_S = 20
+ENGINE_OPTIONS = {"step_ms": 20, "prefill_ms": 5}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Row:
+    """One line of the table."""
+
+    example: str
+    step: str
+    outcome: Outcome
+
+
+async def run_example(example):
+    """Run every step of one example and return its rows."""
+    fleet = Fleet(
+        sheet=example.sheet(),
+        entries_per_data_centre_count=ENTRIES_PER_DATA_CENTRE_COUNT,
+        engine_options=ENGINE_OPTIONS,
+    )
+    rows = []
+    try:
+        async with fleet.running():
+            caller = Caller(
+                session=fleet.session, customer=example.customer, token=example.token
+            )
+            scene = Scene(example=example, fleet=fleet, caller=caller)
+            for title, function in STEPS:
+                name = title.format(**example.words)
+                outcome = await _outcome(function, scene)
+                rows.append(Row(example=example.name, step=name, outcome=outcome))
+    except (ChildError, TimeoutError) as error:
+        outcome = Outcome(expected="a fleet that is up", seen=repr(error))
+        rows.append(Row(example=example.name, step="start", outcome=outcome))
+    return rows
+
+
+async def _outcome(function, scene):
+    try:
+        async with asyncio.timeout(STEP_LIMIT_S):
+            return await function(scene)
+    except Exception as error:
+        return Outcome(expected="an outcome", seen=repr(error))
+
+
+def table(rows):
+    """Return the rows as text for people."""
+    cells = [
+        (
+            row.example,
+            row.step,
+            "yes" if row.outcome.ok else "NO",
+            row.outcome.expected,
+            row.outcome.seen,
+        )
+        for row in rows
+    ]
+    return text_table(("example", "step", "ok", "expected", "seen"), cells)
+
+
+async def _run():
+    # A stop by SIGTERM ends the children too.
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGTERM, _cancel_once, asyncio.current_task())
+    rows = []
+    for example in EXAMPLES:
+        rows.extend(await run_example(example))
+    return rows
+
+
+def _cancel_once(task):
+    # A second signal must not cut short the end of the children.
+    if not task.cancelling():
+        task.cancel()
+
+
+def main():
+    """Run the demonstration; the exit status is 0 only if all was as expected."""
+    try:
+        rows = asyncio.run(_run())
+    except asyncio.CancelledError:
+        sys.exit("stopped by a signal")
+    print(table(rows))
+    right_count = sum(row.outcome.ok for row in rows)
+    print(f"{right_count} of {len(rows)} as expected")
+    sys.exit(0 if right_count == len(rows) else 1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/waxwinghold_bench/demo_steps.py
@@ -0,0 +1,198 @@
+"""The steps of the demonstration, in order of their registration."""
+
+import asyncio
+from dataclasses import dataclass
+
+from waxwinghold_standins.engine import whole_text
+
+from .callers import Caller
+from .examples import Example
+from .fleet import Fleet
+
+QUESTION_TOKENS_COUNT = 24
+STREAM_TOKENS_COUNT = 60
+LONG_TOKENS_COUNT = 120
+TOKENS_BEFORE_FAULT_COUNT = 20
+SENDINGS_COUNT = 3
+SERVICE_UNAVAILABLE = 503
+
+STEPS = []
+
+
+@dataclass(frozen=True, kw_only=True)
+class Scene:
+    """What a step works with."""
+
+    example: Example
+    fleet: Fleet
+    caller: Caller
+
+    @property
+    def entries(self):
+        """The entries that still serve, in a fixed order."""
+        children = self.fleet.children
+        places = self.fleet.entries.values()
+        return [place for place in places if children[place.name].exit_status is None]
+
+    @property
+    def version(self):
+        """The version that calls are pinned to."""
+        services = {row["name"]: row for row in self.fleet.sheet["services"]}
+        return services[self.example.model]["versions"][0]["version"]
+
+    def body(self, tokens_count):
+        """Return the body of a model call."""
+        return {"prompt": self.example.prompt, "max_tokens": tokens_count}
+
+    def expected_text(self, tokens_count):
+        """Return the whole answer to a model call."""
+        return whole_text(self.example.prompt, self.version, tokens_count)
+
+    def streaming(self, entry, tokens_count):
+        """Begin a streamed call."""
+        return self.caller.streaming(
+            entry,
+            self.example.model,
+            self.example.streamed_call,
+            self.body(tokens_count),
+            version=self.version,
+        )
+
+    async def ask(self, entry, tokens_count=QUESTION_TOKENS_COUNT):
+        """Make a call that is not streamed."""
+        return await self.caller.call(
+            entry,
+            self.example.model,
+            self.example.question_call,
+            self.body(tokens_count),
+            version=self.version,
+        )
+
+    async def runs_count(self):
+        """Return how often the once-only call ran, over all targets."""
+        count = 0
+        for place in self.fleet.targets_of(self.example.plain):
+            async with self.fleet.session.get(f"{place.http_url}/effects") as response:
+                effects = await response.json()
+            count += sum(effects.get(self.example.once_call, {}).values())
+        return count
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a step expected and saw."""
+
+    expected: str
+    seen: str
+
+    @property
+    def ok(self):
+        """Whether all was as expected."""
+        return self.expected == self.seen
+
+
+def step(title):
+    """Register a step of the demonstration.
+
+    Args:
+        title: The step's name, with the example's words in braces.
+    """
+
+    def register(function):
+        STEPS.append((title, function))
+        return function
+
+    return register
+
+
+def _wholeness(stream, expected_text):
+    if stream.is_whole and stream.text == expected_text:
+        return f"{stream.length} tokens, whole"
+    return f"{len(stream.tokens)} tokens of {stream.length}, status {stream.status}"
+
+
+@step("{question}")
+async def _question(scene):
+    answer = await scene.ask(scene.entries[0])
+    right = answer.status == 200 and answer.document == {
+        "text": scene.expected_text(QUESTION_TOKENS_COUNT)
+    }
+    seen = "200, the whole text" if right else f"{answer.status} {answer.body[:60]}"
+    return Outcome(expected="200, the whole text", seen=seen)
+
+
+@step("{stream}, streamed")
+async def _streamed(scene):
+    async with scene.streaming(scene.entries[0], STREAM_TOKENS_COUNT) as stream:
+        await stream.read()
+    return Outcome(
+        expected=f"{STREAM_TOKENS_COUNT} tokens, whole",
+        seen=_wholeness(stream, scene.expected_text(STREAM_TOKENS_COUNT)),
+    )
+
+
+@step("{once}, sent 3 times over")
+async def _hold(scene):
+    example = scene.example
+    before_count = await scene.runs_count()
+    key = await scene.caller.issue_key(scene.entries[0], example.plain)
+    answers = await asyncio.gather(
+        *(
+            scene.caller.call(
+                entry, example.plain, example.once_call, example.once_body, key=key
+            )
+            for entry in scene.entries[:SENDINGS_COUNT]
+        )
+    )
+    runs_count = await scene.runs_count() - before_count
+    statuses = ", ".join(str(answer.status) for answer in answers)
+    bodies_count = len({answer.body for answer in answers})
+    return Outcome(
+        expected="200, 200, 200; answers: 1; runs: 1",
+        seen=f"{statuses}; answers: {bodies_count}; runs: {runs_count}",
+    )
+
+
+@step("{stream}, worker killed under way")
+async def _worker_killed(scene):
+    async with scene.streaming(scene.entries[0], LONG_TOKENS_COUNT) as stream:
+        await stream.read(until_count=TOKENS_BEFORE_FAULT_COUNT)
+        scene.fleet.kill_target(stream.target)
+        await stream.read()
+    whole = _wholeness(stream, scene.expected_text(LONG_TOKENS_COUNT))
+    return Outcome(
+        expected=f"{LONG_TOKENS_COUNT} tokens, whole; targets: 2",
+        seen=f"{whole}; targets: {stream.targets_count}",
+    )
+
+
+@step("{stream}, entry drained under way")
+async def _entry_drained(scene):
+    drained, other = scene.entries[:2]
+    child = scene.fleet.children[drained.name]
+    async with scene.streaming(drained, LONG_TOKENS_COUNT) as stream:
+        await stream.read(until_count=TOKENS_BEFORE_FAULT_COUNT)
+        child.terminate()
+        refusal = await _refusal(scene, drained)
+        elsewhere = await scene.ask(other)
+        await stream.read()
+    status = await child.ended()
+    whole = _wholeness(stream, scene.expected_text(LONG_TOKENS_COUNT))
+    return Outcome(
+        expected=(
+            f"{LONG_TOKENS_COUNT} tokens, whole; there: draining, not_run; "
+            "elsewhere: 200; exit: 0"
+        ),
+        seen=(
+            f"{whole}; there: {refusal.code}, {refusal.ran}; "
+            f"elsewhere: {elsewhere.status}; exit: {status}"
+        ),
+    )
+
+
+async def _refusal(scene, entry):
+    """Call until the entry refuses: the signal takes a moment to arrive."""
+    while True:
+        answer = await scene.ask(entry, tokens_count=1)
+        if answer.status == SERVICE_UNAVAILABLE:
+            return answer
--- /dev/null
+++ b/src/waxwinghold_bench/fleet.py
@@ -0,0 +1,252 @@
+"""Starts a whole fleet on loopback, from a sheet: every process on its own."""
+
+import asyncio
+import contextlib
+import json
+import pathlib
+import tempfile
+
+import aiohttp
+
+from .children import Child
+from .places import free_addresses, make_places, process_settings
+from .status import StatusReader
+
+READY_LIMIT_S = 30
+READY_POLL_S = 0.1
+ANSWER_LIMIT_S = 2
+DAEMON_MODULE = "waxwinghold"
+STANDIN_PACKAGE = "waxwinghold_standins"
+STANDINS = {"model": "engine", "plain": "service"}
+
+
+class Fleet:
+    """A platform, entries, and an agent with a stand-in for each target.
+
+    Args:
+        sheet: The sheet as plain types; the agents' addresses and keys in it
+            are replaced by those of this fleet.
+        entries_per_data_centre_count: Entries in each of the sheet's data
+            centres.
+        entry_settings: Settings of every entry beside what the fleet fills in.
+        agent_settings: The same for every agent.
+        engine_options: Options of every stand-in engine.
+        service_options: Options of every stand-in service.
+    """
+
+    def __init__(
+        self,
+        *,
+        sheet,
+        entries_per_data_centre_count=1,
+        entry_settings=None,
+        agent_settings=None,
+        engine_options=None,
+        service_options=None,
+    ):
+        self.agents = make_places(role="agent", names=_target_names(sheet))
+        entry_names = _entry_names(sheet, entries_per_data_centre_count)
+        self.entries = make_places(role="entry", names=entry_names)
+        self.sheet = _placed(sheet, self.agents)
+        self.children = {}
+        self.session = None
+        self.platform_url = None
+        self._settings = {"entry": entry_settings or {}, "agent": agent_settings or {}}
+        self._options = {
+            "model": engine_options or {},
+            "plain": service_options or {},
+        }
+        (self._operator,) = make_places(role="operator", names={"op": ""}).values()
+        self._status_reader = StatusReader(operator=self._operator)
+        self._directory = None
+
+    @contextlib.asynccontextmanager
+    async def running(self):
+        """Run the fleet for the length of an ``async with`` block."""
+        with tempfile.TemporaryDirectory(prefix="waxwinghold-") as directory:
+            self._directory = pathlib.Path(directory)
+            async with aiohttp.ClientSession() as self.session:
+                try:
+                    await self._start()
+                    yield self
+                finally:
+                    await self._end_all()
+
+    def targets_of(self, service):
+        """Return the places of a service's targets."""
+        return [
+            self.agents[row["name"]]
+            for row in self.sheet["targets"]
+            if row["service"] == service
+        ]
+
+    def kill_target(self, target):
+        """Kill a target's host: the agent and the stand-in at once."""
+        self.children[target].kill()
+        self.children[_standin_name(target)].kill()
+
+    def start_target(self, target):
+        """Start a target's stand-in."""
+        row = next(row for row in self.sheet["targets"] if row["name"] == target)
+        kind = _kinds(self.sheet)[row["service"]]
+        options = dict(self._options[kind])
+        if kind == "model":
+            options["model_version"] = row["version"]
+            options["adapters"] = ",".join(row.get("adapters", ()))
+            options["checks_orders"] = row.get("checks_orders", True)
+            options["slots_count"] = row.get("slots_count", 8)
+        self._start_standin(
+            _standin_name(target),
+            STANDINS[kind],
+            address=self.agents[target].http_address,
+            **options,
+        )
+
+    def start_agent(self, target):
+        """Start the agent beside a target; a new one forgets what the old knew."""
+        settings = process_settings(
+            self.agents[target],
+            platform_url=self.platform_url,
+            known=[*self.entries.values(), self._operator, *self.agents.values()],
+        )
+        settings["target_url"] = self.agents[target].http_url
+        self._start_daemon(self.agents[target], settings)
+
+    def start_entry(self, name):
+        """Start an entry."""
+        entry = self.entries[name]
+        peers = [other for other in self.entries.values() if other is not entry]
+        settings = process_settings(
+            entry,
+            platform_url=self.platform_url,
+            known=[*peers, self._operator],
+        )
+        settings["http_address"] = entry.http_address
+        settings["peers"] = [peer.peer() for peer in peers]
+        self._start_daemon(entry, settings)
+
+    async def wait_ready(self, *, targets_count=None):
+        """Wait until every entry has a link to every target, all healthy.
+
+        Args:
+            targets_count: Targets to wait for; by default all.
+
+        Raises:
+            ChildError: A process ended instead.
+            TimeoutError: Something is not ready in time.
+        """
+        targets_count = targets_count or len(self.agents)
+        async with asyncio.timeout(READY_LIMIT_S):
+            for entry in self.entries.values():
+                await self._until_ready(entry, targets_count)
+
+    async def status(self, place):
+        """Return the status of an entry or an agent, in plain types."""
+        return await self._status_reader.read(place)
+
+    async def _start(self):
+        address = free_addresses(1)[0]
+        self.platform_url = f"http://{address}"
+        places = [*self.agents.values(), *self.entries.values()]
+        hosts = {"hosts": [place.host() for place in places]}
+        self._start_standin(
+            "platform",
+            "platform",
+            address=address,
+            sheet=self._write("sheet.json", self.sheet),
+            hosts=self._write("hosts.json", hosts),
+        )
+        for target in self.agents:
+            self.start_target(target)
+            self.start_agent(target)
+        for name in self.entries:
+            self.start_entry(name)
+        await self.wait_ready()
+
+    async def _end_all(self):
+        children = list(self.children.values())
+        for child in children:
+            child.wake()
+            child.terminate()
+        endings = [child.ended() for child in children]
+        outcomes = await asyncio.gather(*endings, return_exceptions=True)
+        for child, outcome in zip(children, outcomes, strict=True):
+            if isinstance(outcome, BaseException):
+                child.kill()
+
+    async def _until_ready(self, entry, targets_count):
+        while not await self._is_ready(entry, targets_count):
+            for child in self.children.values():
+                child.check()
+            await asyncio.sleep(READY_POLL_S)
+
+    async def _is_ready(self, entry, targets_count):
+        if not await self._answers_health(entry):
+            return False
+        status = await self.status(entry)
+        targets = status["targets"].values()
+        up = [one for one in targets if one["takes_work"] and one["healthy"]]
+        return len(up) >= targets_count
+
+    async def _answers_health(self, entry):
+        timeout = aiohttp.ClientTimeout(total=ANSWER_LIMIT_S)
+        try:
+            url = f"{entry.http_url}/health"
+            async with self.session.get(url, timeout=timeout) as response:
+                return response.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    def _start_daemon(self, place, settings):
+        settings |= self._settings[place.role]
+        path = self._write(f"{place.name}.settings.json5", settings)
+        self._start_child(place.name, DAEMON_MODULE, [place.role, path])
+
+    def _start_standin(self, name, module, **options):
+        arguments = [f"--{key}={value}" for key, value in options.items()]
+        self._start_child(name, f"{STANDIN_PACKAGE}.{module}", arguments)
+
+    def _start_child(self, name, module, arguments):
+        log_path = self._directory / f"{name}.log"
+        self.children[name] = Child(
+            name=name, module=module, arguments=arguments, log_path=log_path
+        )
+
+    def _write(self, name, document):
+        path = self._directory / name
+        path.write_text(json.dumps(document))
+        return str(path)
+
+
+def _standin_name(target):
+    return f"{target}-standin"
+
+
+def _target_names(sheet):
+    return {row["name"]: row["data_centre"] for row in sheet["targets"]}
+
+
+def _entry_names(sheet, count):
+    data_centres = dict.fromkeys(row["data_centre"] for row in sheet["targets"])
+    return {
+        f"entry-{data_centre}-{number}": data_centre
+        for data_centre in data_centres
+        for number in range(1, count + 1)
+    }
+
+
+def _kinds(sheet):
+    return {service["name"]: service["kind"] for service in sheet["services"]}
+
+
+def _placed(sheet, agents):
+    """Return the sheet with the agents' addresses and keys of this fleet."""
+    targets = [
+        row
+        | {
+            "agent_address": agents[row["name"]].link_address,
+            "agent_public_key": agents[row["name"]].public_key,
+        }
+        for row in sheet["targets"]
+    ]
+    return sheet | {"targets": targets}
--- /dev/null
+++ b/src/waxwinghold_bench/status.py
@@ -0,0 +1,38 @@
+"""Reads the status of running processes, as an operator would."""
+
+import msgspec
+
+from waxwinghold._keys import random_name
+from waxwinghold._messages import StatusQuery
+from waxwinghold._tool.asking import Asker
+from waxwinghold._tool.settings import KnownProcess, OperatorSettings
+
+
+class StatusReader:
+    """Asks processes for their status over links.
+
+    Args:
+        operator: The ``Place`` whose key the processes know as an operator's.
+    """
+
+    def __init__(self, *, operator):
+        settings = OperatorSettings(
+            name=operator.name,
+            link_secret_key=operator.secret_key,
+            link_public_key=operator.public_key,
+            processes=(),
+        )
+        self._asker = Asker(settings=settings)
+
+    async def read(self, place):
+        """Return the status of the process at ``place``, in plain types.
+
+        Raises:
+            UnreachableError: The process does not answer in time.
+        """
+        process = KnownProcess(
+            name=place.name, address=place.link_address, public_key=place.public_key
+        )
+        query = StatusQuery(query_id=random_name())
+        reply = await self._asker.ask(process, query)
+        return msgspec.json.decode(reply.document)
