--- a/src/waxwinghold/_agent/__init__.py
+++ b/src/waxwinghold/_agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent: the role beside each target."""
--- /dev/null
+++ b/src/waxwinghold/_agent/events.py
@@ -0,0 +1,50 @@
+"""Server-sent events of an engine."""
+
+import msgspec
+
+from .._errors import TargetFailedError
+
+EVENT_LIMIT_BYTES = 1024 * 1024
+
+
+class EventParser:
+    """Reads server-sent events of an engine from pieces of any size."""
+
+    def __init__(self):
+        self._rest = b""
+
+    def feed(self, data):
+        """Return the events that ``data`` completes, and the length at the end.
+
+        Raises:
+            TargetFailedError: An event is broken or too large.
+        """
+        blocks = (self._rest + data).replace(b"\r\n", b"\n").split(b"\n\n")
+        self._rest = blocks.pop()
+        if len(self._rest) > EVENT_LIMIT_BYTES:
+            raise TargetFailedError("the engine sent an event that is too large")
+        events = []
+        for block in blocks:
+            kind, value = _parse_block(block)
+            if kind == "end":
+                return events, value["length"]
+            if kind == "token":
+                events.append(value)
+        return events, None
+
+
+def _parse_block(block):
+    kind, data = "", b""
+    for line in block.split(b"\n"):
+        name, _, value = line.partition(b":")
+        value = value.removeprefix(b" ")
+        if name == b"event":
+            kind = value.decode()
+        elif name == b"data":
+            data += value
+    if not data:
+        return "", None
+    try:
+        return kind or "token", msgspec.json.decode(data)
+    except msgspec.DecodeError as error:
+        raise TargetFailedError(f"the engine sent a broken event: {error}") from error
--- a/src/waxwinghold/_entry/__init__.py
+++ b/src/waxwinghold/_entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry: the role that callers reach over HTTP."""
--- a/src/waxwinghold/_entry/exchange.py
+++ b/src/waxwinghold/_entry/exchange.py
@@ -21,13 +21,11 @@
     def __init__(self, *, request_id):
         self.request_id = request_id
         self.attempt = 0
-        self.started = False
         self._inbox = asyncio.Queue()
 
     def next_attempt(self):
         """Begin a new attempt: what earlier ones still send is dropped."""
         self.attempt += 1
-        self.started = False
         self._inbox = asyncio.Queue()
         return self.attempt
 
@@ -52,3 +50,13 @@
         """
         async with asyncio.timeout(max(0.0, limit_ms) / 1000):
             return await self._inbox.get()
+
+    async def wait_for_link(self, link, *, limit_ms):
+        """Return whether ``link`` is up within ``limit_ms``; drop other messages."""
+        try:
+            async with asyncio.timeout(max(0.0, limit_ms) / 1000):
+                while not link.up:
+                    await self._inbox.get()
+        except TimeoutError:
+            return link.up
+        return True
--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -1,8 +1,6 @@
 """The callers' interface over HTTP, as ``docs/CALLERS.md`` describes it."""
 
 import asyncio
-import json
-import math
 
 import logbook
 from aiohttp import web
@@ -18,13 +16,14 @@
 from .._sheet.model import Repeat
 from .._verdict import Ran
 from .callers import CallerHeaders
+from .refusals import error_response
+from .sse import StreamWriter
 from .tokens import read_token
 
 log = logbook.Logger("http")
 
 BODY_READ_LIMIT_MS = 10_000
 MS_PER_SECOND = 1000
-SSE_TYPE = "text/event-stream"
 
 
 def make_app(process):
@@ -46,29 +45,6 @@
     return app
 
 
-def error_response(error):
-    """Return the HTTP answer of a refusal, with its verdict."""
-    headers = {"Waxwing-Ran": error.ran.value, "Waxwing-Error": error.code}
-    if error.retry_after_ms is not None:
-        seconds = math.ceil(error.retry_after_ms / MS_PER_SECOND)
-        headers["Retry-After"] = str(seconds)
-    return web.json_response(
-        error_document(error), status=error.status, headers=headers
-    )
-
-
-def error_document(error):
-    """Return a refusal as the JSON that callers get."""
-    return {
-        "error": {
-            "code": error.code,
-            "reason": str(error),
-            "ran": error.ran.value,
-            "retry_after_ms": error.retry_after_ms,
-        }
-    }
-
-
 class CallersInterface:
     """Handles the callers' requests.
 
@@ -219,111 +195,6 @@
         return writer.response
 
 
-class StreamWriter:
-    """Writes server-sent events to one caller.
-
-    An event's id is the number of events up to and with it, so that a caller
-    that sends the last id it saw gets what follows.
-
-    Args:
-        process: The ``EntryProcess``.
-        request: The caller's HTTP request.
-        offset: The place of the first event.
-    """
-
-    def __init__(self, *, process, request, offset):
-        self._clock = process.clock
-        self._metrics = process.metrics
-        self._request = request
-        self._place = offset
-        self._keepalive_ms = process.settings.keepalive_interval_ms
-        self._last_ms = process.clock.now_ms()
-        self._seat_name = ""
-        self.response = None
-
-    @property
-    def started(self):
-        """Whether the caller has got the beginning of the answer."""
-        return self.response is not None
-
-    async def send_all(self, attempts):
-        """Send every event and the end.
-
-        Raises:
-            RequestError: The answer cannot be completed.
-        """
-        batches = attempts.stream()
-        pending = None
-        try:
-            while True:
-                pending = pending or asyncio.ensure_future(anext(batches, None))
-                done, _ = await asyncio.wait(
-                    {pending}, timeout=self._keepalive_ms / MS_PER_SECOND
-                )
-                if not done:
-                    await self._keep_alive()
-                    continue
-                batch = pending.result()
-                pending = None
-                if batch is None:
-                    break
-                await self._send_batch(attempts, batch)
-        finally:
-            if pending is not None:
-                pending.cancel()
-                await asyncio.gather(pending, return_exceptions=True)
-            await batches.aclose()
-        await self._start(attempts)
-        await self._write(f'event: end\ndata: {{"length": {self._place}}}\n\n')
-        await self.response.write_eof()
-
-    async def break_off(self, error):
-        """Tell what is known and cut the transfer, so that it looks broken."""
-        document = json.dumps(error_document(error))
-        await self._write(f"event: error\ndata: {document}\n\n")
-        if self._request.transport is not None:
-            # Without the closing chunk no client takes the answer for whole.
-            self._request.transport.close()
-
-    async def _start(self, attempts):
-        if self.started:
-            return
-        response = web.StreamResponse()
-        response.content_type = SSE_TYPE
-        response.headers["Cache-Control"] = "no-store"
-        response.headers["Waxwing-Request"] = attempts.token()
-        response.headers["Waxwing-Target"] = attempts.seat.name
-        self._seat_name = attempts.seat.name
-        await response.prepare(self._request)
-        self.response = response
-
-    async def _send_batch(self, attempts, batch):
-        name = "between_events" if self.started else "first_event"
-        await self._start(attempts)
-        self._record(name)
-        pieces = []
-        if attempts.seat.name != self._seat_name:
-            self._seat_name = attempts.seat.name
-            token = json.dumps({"request": attempts.token()})
-            pieces.append(f"event: request\ndata: {token}\n\n")
-        for event in batch:
-            self._place += 1
-            pieces.append(f"id: {self._place}\ndata: {json.dumps(event)}\n\n")
-        await self._write("".join(pieces))
-
-    def _record(self, name):
-        now_ms = self._clock.now_ms()
-        self._metrics.record_ms(name, now_ms - self._last_ms)
-        self._last_ms = now_ms
-
-    async def _keep_alive(self):
-        if self.started:
-            await self._write(": keep-alive\n\n")
-
-    async def _write(self, text):
-        await self.response.write(text.encode())
-
-
 def _caller_headers(request):
     return CallerHeaders(
         customer=request.headers.get("Waxwing-Customer", ""),
--- /dev/null
+++ b/src/waxwinghold/_entry/sending.py
@@ -0,0 +1,154 @@
+"""Chooses the target of an attempt and sends the request there."""
+
+from .._errors import (
+    DeadlineError,
+    KeyHomeLostError,
+    NoTargetError,
+    OverloadedError,
+    SuspectRequestError,
+    TargetUnreachableError,
+)
+from .._links import LinkDownError
+from .._messages import Submit
+from .._policy import ChoiceRequest
+from .outcomes import nothing_sent
+
+# The agent ends a request a little earlier than the entry, so that its word
+# on whether the request ran is here in time.
+DEADLINE_MARGIN_MS = 120
+
+
+class Sender:
+    """Sends the attempts of one request.
+
+    Args:
+        process: The ``EntryProcess``.
+        request: The admitted ``CallRequest``.
+        exchange: Receives what the targets say.
+    """
+
+    def __init__(self, *, process, request, exchange):
+        self._process = process
+        self._clock = process.clock
+        self._request = request
+        self._exchange = exchange
+        self._tried = set()
+        self.sent_count = 0
+        self.sent_alone = False
+        self.sent_to = ""
+        self.seat = None
+
+    def left_ms(self):
+        """Return the time left until the request's deadline."""
+        return self._request.deadline_ms - self._clock.now_ms()
+
+    async def send(self, *, given):
+        """Choose a target and send the request to it.
+
+        Args:
+            given: Events of a streamed answer that the caller has already.
+
+        Raises:
+            RequestError: No target may get the request; nothing was sent.
+        """
+        self._check_suspicion()
+        seat = self._choose()
+        suspect = self._process.suspects.is_suspect(self._request.digest)
+        message = self._submit(seat, given=given, suspect=suspect)
+        try:
+            seat.link.send(message)
+        except LinkDownError as error:
+            raise nothing_sent(error) from error
+        self.seat = seat
+        self.sent_count += 1
+        self.sent_alone = suspect
+        self.sent_to = f"{seat.name}/{seat.link.incarnation}"
+        self._tried.add(seat.name)
+        seat.add(self._exchange)
+
+    def release(self):
+        """Let the last target's seat forget the request."""
+        if self.seat is not None:
+            self.seat.remove(self._exchange)
+
+    def _check_suspicion(self):
+        suspects = self._process.suspects
+        if suspects.is_condemned(self._request.digest):
+            count = suspects.crashes_count(self._request.digest)
+            raise SuspectRequestError(crashes_count=count)
+
+    def _submit(self, seat, *, given, suspect):
+        request = self._request
+        deadline_in_ms = self.left_ms() - DEADLINE_MARGIN_MS
+        return Submit(
+            request_id=request.request_id,
+            attempt=self._exchange.next_attempt(),
+            service=request.service.name,
+            version=request.version,
+            call=request.call.name,
+            customer=request.customer.name,
+            priority=request.priority,
+            deadline_at_ms=seat.link.peer_wall_ms() + deadline_in_ms,
+            body=request.body,
+            content_type=request.content_type,
+            digest=request.digest,
+            streamed=request.call.streamed,
+            key=request.key_text,
+            given=given,
+            suspect=suspect,
+            adapter=request.adapter,
+        )
+
+    def _choose(self):
+        if self.left_ms() <= DEADLINE_MARGIN_MS:
+            raise DeadlineError("the deadline passed before a target was found")
+        if self._request.key is not None:
+            return self._home()
+        request = self._request
+        seats = self._process.fleet.seats_of(
+            service=request.service.name, version=request.version
+        )
+        candidates = [
+            seat.candidate
+            for seat in seats.values()
+            if seat.takes_work and seat.has_adapter(request.adapter)
+        ]
+        chosen = self._process.policy.choose(
+            candidates,
+            request=ChoiceRequest(
+                data_centre=self._process.settings.data_centre,
+                priority=request.priority,
+                prefix=request.prefix,
+                steps_count=request.steps_count,
+                tried=frozenset(self._tried),
+            ),
+            now_ms=self._clock.now_ms(),
+        )
+        if chosen is None:
+            raise NoTargetError(service=request.service.name, version=request.version)
+        self._check_wait(chosen)
+        return seats[chosen.name]
+
+    def _check_wait(self, candidate):
+        wait_ms = self._process.policy.wait_ms(candidate, now_ms=self._clock.now_ms())
+        if self._process.admits(
+            wait_ms=wait_ms,
+            deadline_in_ms=self.left_ms(),
+            priority=self._request.priority,
+        ):
+            return
+        raise OverloadedError(
+            f"{wait_ms:.0f} ms of work wait for the least busy target"
+        )
+
+    def _home(self):
+        """Return the seat of the only target that may run the key."""
+        key = self._request.key
+        seat = self._process.fleet.seats.get(key.target)
+        if seat is None or not seat.link.up:
+            raise TargetUnreachableError(
+                f'target "{key.target}", which holds the key, cannot be reached'
+            )
+        if seat.link.incarnation != key.incarnation:
+            raise KeyHomeLostError(target=key.target)
+        return seat
