--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = src tests
 
-.PHONY: setup lint format test demo bench slopes
+.PHONY: setup lint format test demo try bench slopes
 
 setup: $(VENV)/.installed
 
@@ -28,6 +28,9 @@
 demo: setup
 	$(BIN)/python -m waxwinghold_bench.demo
 
+try: setup
+	$(BIN)/python -m waxwinghold_bench.try_out
+
 bench: setup
 	$(BIN)/python -m waxwinghold_bench.bench
 
--- a/src/waxwinghold_bench/fleet.py
+++ b/src/waxwinghold_bench/fleet.py
@@ -144,6 +144,24 @@
         """Return the status of an entry or an agent, in plain types."""
         return await self._status_reader.read(place)
 
+    def write_operator_settings(self):
+        """Write settings for ``waxwing`` and return the file's path."""
+        places = [*self.entries.values(), *self.agents.values()]
+        document = {
+            "name": self._operator.name,
+            "link_secret_key": self._operator.secret_key,
+            "link_public_key": self._operator.public_key,
+            "processes": [
+                {
+                    "name": place.name,
+                    "address": place.link_address,
+                    "public_key": place.public_key,
+                }
+                for place in places
+            ],
+        }
+        return self._write("operator.settings.json5", document)
+
     async def _start(self):
         address = free_addresses(1)[0]
         self.platform_url = f"http://{address}"
--- /dev/null
+++ b/src/waxwinghold_bench/try_out.py
@@ -0,0 +1,38 @@
+"""``make try``: the Guild's example on loopback, for trying things by hand."""
+
+import asyncio
+import signal
+
+from .examples import GUILD
+from .fleet import Fleet
+
+RUN_LIMIT_S = 600
+
+
+async def _run():
+    ended = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, ended.set)
+    fleet = Fleet(sheet=GUILD.sheet())
+    async with fleet.running():
+        settings = fleet.write_operator_settings()
+        for entry in fleet.entries.values():
+            print(f"ENTRY={entry.http_url}")
+        print(f"CUSTOMER={GUILD.customer} TOKEN={GUILD.token}")
+        print(f"waxwing status --settings {settings}")
+        print(f"Ends by itself in {RUN_LIMIT_S} s, or with Ctrl-C.", flush=True)
+        try:
+            async with asyncio.timeout(RUN_LIMIT_S):
+                await ended.wait()
+        except TimeoutError:
+            pass
+
+
+def main():
+    """Run the example until a signal or the limit."""
+    asyncio.run(_run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/tests/test_operations_page.py
@@ -0,0 +1,22 @@
+"""Every code that a caller can get is on the operators' page."""
+
+import pathlib
+import unittest
+
+from waxwinghold import _errors
+from waxwinghold._agent import target
+
+PAGE = pathlib.Path(__file__).parents[1] / "docs" / "OPERATIONS.md"
+
+
+class OperationsPageTests(unittest.TestCase):
+    def test_every_request_error_is_explained(self):
+        kinds = [
+            kind
+            for module in (_errors, target)
+            for kind in vars(module).values()
+            if isinstance(kind, type) and issubclass(kind, _errors.RequestError)
+        ]
+        page = PAGE.read_text()
+        missing = {kind.code for kind in kinds if f"`{kind.code}`" not in page}
+        self.assertEqual(missing, set())
