Add the bench beside a naive relay, and the slopes of processes

Cause: what one process costs decides what fits at the aim's size, and the whole path needs a comparison with a relay and with the bare engines. Ruled out: starting a large fleet (its processes would measure each other); counting bytes in our own code, which misses CURVE and TCP.

--- /dev/null
+++ b/src/waxwinghold_bench/bench.py
@@ -0,0 +1,244 @@
+"""``make bench``: ours beside a naive relay and the bare engines, in one run."""
+
+import asyncio
+import itertools
+import os
+import pathlib
+from dataclasses import dataclass
+
+import fire
+
+from waxwinghold._tool.reports import text_table
+
+from .children import Child
+from .examples import GUILD, TOKEN_PREFIX
+from .fleet import Fleet
+from .load import Call, percentile_ms, run_load
+from .places import free_addresses
+from .usage import rates_between, read_usage
+
+TARGETS_COUNT = 4
+SLOTS_COUNT = 64
+ENGINE_OPTIONS = {"step_ms": 20}
+TOKENS_COUNT = 32
+CALLERS_COUNTS = (1, 16, 256)
+WARM_UP_S = 1.0
+IDLE_WINDOW_S = 10.0
+MIB = 1024 * 1024
+LOAD_HEADERS = (
+    "callers",
+    "way",
+    "requests/s",
+    "tokens/s",
+    "broken",
+    "first token ms p50",
+    "p95",
+    "p99",
+    "between tokens ms p50",
+    "p95",
+    "p99",
+    "core %",
+    "cpu ms/request",
+)
+IDLE_HEADERS = ("idle process", "core %", "MiB", "link bytes/s")
+
+
+_numbers = itertools.count()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Way:
+    """One way to the engines.
+
+    Args:
+        tokens_count: Tokens that each request asks for.
+        pid: The process whose use is measured; ``None`` for none.
+        calls: Yields URL and headers of each request; without headers the
+            engine is called, or the relay in front of it.
+    """
+
+    name: str
+    calls: itertools.cycle
+    pid: int | None = None
+    tokens_count: int = TOKENS_COUNT
+
+    def make_call(self):
+        """Return the next request."""
+        url, headers = next(self.calls)
+        number = next(_numbers)
+        prompt = f"Which jacket fits a child of {number} cm?"
+        body = {"prompt": prompt, "max_tokens": self.tokens_count}
+        if not headers:
+            body["request_id"] = f"bench-{number}"
+        return Call(url=url, headers=headers, body=body)
+
+
+def main(*, duration_s=6.0):
+    """Print the table of ``docs/BENCHMARKS.md``.
+
+    Args:
+        duration_s: Time of each load.
+    """
+    asyncio.run(_run(duration_s))
+
+
+def bench_sheet():
+    """Return the Guild's sheet, cut down to a few targets of one service."""
+    sheet = GUILD.sheet()
+    rows = [row for row in sheet["targets"] if row["service"] == GUILD.model]
+    first = rows[0]
+    same = [
+        row
+        for row in rows
+        if (row["data_centre"], row["version"])
+        == (first["data_centre"], first["version"])
+    ]
+    targets = [
+        row | {"group": "", "ranks": [], "slots_count": SLOTS_COUNT}
+        for row in same[:TARGETS_COUNT]
+    ]
+    services = [row for row in sheet["services"] if row["name"] == GUILD.model]
+    services[0]["versions"] = [{"version": first["version"], "share_percent": 100}]
+    customers = [
+        row | {"services": [GUILD.model], "versions": None}
+        for row in sheet["customers"]
+        if GUILD.model in row["services"]
+    ]
+    return sheet | {
+        "services": services,
+        "groups": [],
+        "targets": targets,
+        "customers": customers,
+    }
+
+
+async def _run(duration_s):
+    fleet = Fleet(sheet=bench_sheet(), engine_options=ENGINE_OPTIONS)
+    async with fleet.running():
+        engines = [place.http_url for place in fleet.agents.values()]
+        address = free_addresses(1)[0]
+        relay = _start_relay(address, engines)
+        try:
+            await _print_idle(fleet)
+            ways = engine_ways(engines, f"http://{address}", relay.pid)
+            ways += (way_through_entry(fleet),)
+            await _print_loads(ways, duration_s)
+        finally:
+            relay.kill()
+
+
+def _start_relay(address, engines):
+    return Child(
+        name="relay",
+        module="waxwinghold_bench.relay",
+        arguments=[f"--address={address}", f"--engines={','.join(engines)}"],
+        log_path=pathlib.Path(os.devnull),
+    )
+
+
+def engine_ways(engines, relay_url, relay_pid):
+    """Return the ways that go past the system."""
+    return (
+        Way(
+            name="bare engines",
+            calls=itertools.cycle([(f"{one}/generate", {}) for one in engines]),
+        ),
+        Way(
+            name="naive relay",
+            calls=itertools.cycle([(f"{relay_url}/generate", {})]),
+            pid=relay_pid,
+        ),
+    )
+
+
+def way_through_entry(fleet, *, tokens_count=TOKENS_COUNT):
+    """Return the way through the first entry of ``fleet``, as all customers."""
+    entry = next(iter(fleet.entries.values()))
+    url = f"{entry.http_url}/v1/services/{GUILD.model}/calls/{GUILD.streamed_call}"
+    headers = [
+        {
+            "Waxwing-Customer": row["name"],
+            "Authorization": f"Bearer {TOKEN_PREFIX}{row['name']}",
+        }
+        for row in fleet.sheet["customers"]
+    ]
+    return Way(
+        name="waxwinghold",
+        calls=itertools.cycle([(url, one) for one in headers]),
+        pid=fleet.children[entry.name].pid,
+        tokens_count=tokens_count,
+    )
+
+
+async def _print_idle(fleet):
+    await asyncio.sleep(WARM_UP_S)
+    processes = {
+        place.name: (fleet.children[place.name].pid, _ports(fleet, place))
+        for place in (*fleet.entries.values(), next(iter(fleet.agents.values())))
+    }
+    before = {
+        name: read_usage(pid, ports=ports) for name, (pid, ports) in processes.items()
+    }
+    await asyncio.sleep(IDLE_WINDOW_S)
+    rows = []
+    for name, (pid, ports) in processes.items():
+        rates = rates_between(before[name], read_usage(pid, ports=ports))
+        rows.append(
+            (
+                name,
+                f"{rates.core_percent:.2f}",
+                f"{rates.resident_bytes / MIB:.1f}",
+                f"{rates.wire_bytes_per_second:.0f}",
+            )
+        )
+    print(text_table(IDLE_HEADERS, rows), flush=True)
+
+
+def _ports(fleet, place):
+    """Return the link ports whose connections end at the process."""
+    places = [place]
+    if place.role == "entry":
+        places += fleet.agents.values()
+    return [int(one.link_address.rpartition(":")[2]) for one in places]
+
+
+async def _print_loads(ways, duration_s):
+    rows = []
+    for callers_count in CALLERS_COUNTS:
+        for way in ways:
+            await run_load(
+                make_call=way.make_call, callers_count=callers_count, duration_s=0.5
+            )
+            rows.append(await _load_row(way, callers_count, duration_s))
+    print(text_table(LOAD_HEADERS, rows), flush=True)
+
+
+async def _load_row(way, callers_count, duration_s):
+    before = read_usage(way.pid) if way.pid else None
+    result = await run_load(
+        make_call=way.make_call, callers_count=callers_count, duration_s=duration_s
+    )
+    usage = ("", "")
+    if before is not None:
+        after = read_usage(way.pid)
+        core_percent = rates_between(before, after).core_percent
+        cpu_ms = (after.cpu_ms - before.cpu_ms) / max(1, result.whole_count)
+        usage = (f"{core_percent:.1f}", f"{cpu_ms:.2f}")
+    latencies = [
+        f"{percentile_ms(histogram, percentile):.1f}"
+        for histogram in (result.first_token, result.between_tokens)
+        for percentile in (50, 95, 99)
+    ]
+    return (
+        callers_count,
+        way.name,
+        f"{result.requests_per_second:.1f}",
+        f"{result.tokens_count / result.elapsed_s:.0f}",
+        result.broken_count,
+        *latencies,
+        *usage,
+    )
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- /dev/null
+++ b/src/waxwinghold_bench/crowd.py
@@ -0,0 +1,185 @@
+"""Peers of a process under measurement: many links in one bench process."""
+
+import asyncio
+import contextlib
+from dataclasses import dataclass, field
+
+import zmq.asyncio
+from zmq.auth.asyncio import AsyncioAuthenticator
+
+from waxwinghold._clock import Clock
+from waxwinghold._convert import convert
+from waxwinghold._links import (
+    KeyRing,
+    Link,
+    LinkServer,
+    Presence,
+    start_authenticator,
+)
+from waxwinghold._links.presence import no_report
+from waxwinghold._messages import Report, SheetPull
+from waxwinghold._settings import AgentSettings, EntrySettings
+from waxwinghold._sheet import SheetSpreader, SheetStore
+
+from .places import process_settings
+
+REPORTED_PREFIXES = tuple(f"{number:016x}" for number in range(8))
+UP_LIMIT_S = 20
+UP_POLL_S = 0.05
+
+
+class QuietHandler:
+    """Takes whatever comes over a link and answers sheet pulls.
+
+    Args:
+        spreader: Answers the pulls; ``None`` to answer none.
+    """
+
+    def __init__(self, *, spreader=None):
+        self._spreader = spreader
+
+    def on_up(self, link):
+        """Do nothing: the link is up."""
+
+    def on_down(self, link):
+        """Do nothing: the link opens anew by itself."""
+
+    def on_connected(self, connection):
+        """Do nothing: the connection is greeted."""
+
+    def on_gone(self, connection):
+        """Do nothing: the peer may come again."""
+
+    def on_heartbeat(self, peer, heartbeat):
+        """Do nothing: the answer has been sent."""
+
+    def on_leaving(self, peer, message):
+        """Do nothing: the peer ends."""
+
+
+class ListeningHandler(QuietHandler):
+    """The listening side of a stand-in peer."""
+
+    async def on_message(self, connection, message):
+        """Answer a sheet pull."""
+        if self._spreader is not None and isinstance(message, SheetPull):
+            answer = self._spreader.answer(message)
+            if answer is not None:
+                connection.send(answer)
+
+
+class ConnectingHandler(QuietHandler):
+    """The connecting side of a stand-in peer."""
+
+    def on_message(self, link, message):
+        """Answer a sheet pull."""
+        if self._spreader is not None and isinstance(message, SheetPull):
+            answer = self._spreader.answer(message)
+            if answer is not None:
+                link.send(answer)
+
+
+def make_report():
+    """Return a load report of usual size."""
+    return Report(
+        waiting_count=3,
+        running_count=16,
+        slots_count=16,
+        step_ms=31.5,
+        queue_wait_ms=12.5,
+        age_ms=212.0,
+        prefixes=REPORTED_PREFIXES,
+    )
+
+
+@dataclass(frozen=True, kw_only=True)
+class Crowd:
+    """Stand-in peers that share one ``zmq`` context.
+
+    Args:
+        store: Holds the sheet that the peers say they hold.
+    """
+
+    clock: Clock
+    store: SheetStore
+    context: zmq.asyncio.Context = field(default_factory=zmq.asyncio.Context)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    authenticators: list[AsyncioAuthenticator] = field(default_factory=list)
+
+    @contextlib.asynccontextmanager
+    async def present(self):
+        """Keep the peers for the length of an ``async with`` block."""
+        try:
+            yield self
+        finally:
+            for task in self.tasks:
+                task.cancel()
+            await asyncio.gather(*self.tasks, return_exceptions=True)
+            for authenticator in self.authenticators:
+                authenticator.stop()
+            self.context.destroy(linger=0)
+
+    def listen(self, places, *, known):
+        """Listen as the agent or entry of each place; return the servers."""
+        settings = [_settings(place, known=known) for place in places]
+        ring = KeyRing(known_keys=settings[0].known_keys)
+        self.authenticators.append(start_authenticator(self.context, ring))
+        servers = []
+        for place, one in zip(places, settings):
+            report = make_report if place.role == "agent" else no_report
+            server = LinkServer(
+                clock=self.clock,
+                context=self.context,
+                settings=one,
+                key_ring=ring,
+                presence=self._presence(one, role=place.role, report=report),
+                handler=ListeningHandler(spreader=self._spreader()),
+            )
+            servers.append(server)
+            self.tasks.append(asyncio.create_task(server.run()))
+        return servers
+
+    async def connect(self, places, *, peer):
+        """Open a link to ``peer`` as the entry of each place."""
+        links = []
+        for place in places:
+            settings = _settings(place, known=[peer])
+            link = Link(
+                clock=self.clock,
+                context=self.context,
+                settings=settings,
+                presence=self._presence(settings, role="entry"),
+                handler=ConnectingHandler(spreader=self._spreader()),
+                name=peer.name,
+                address=peer.link_address,
+                public_key=peer.public_key,
+            )
+            links.append(link)
+            self.tasks.append(asyncio.create_task(link.run()))
+        async with asyncio.timeout(UP_LIMIT_S):
+            while not all(link.up for link in links):
+                await asyncio.sleep(UP_POLL_S)
+
+    def _spreader(self):
+        return SheetSpreader(store=self.store, clock=self.clock)
+
+    def _presence(self, settings, *, role, report=no_report):
+        return Presence(
+            clock=self.clock,
+            name=settings.name,
+            role=role,
+            data_centre=settings.data_centre,
+            incarnation=f"{settings.name}-1",
+            sheet_state=lambda: (self.store.version, self.store.digest),
+            is_leaving=lambda: False,
+            report=report,
+        )
+
+
+def _settings(place, *, known):
+    document = process_settings(place, platform_url="http://127.0.0.1:1", known=known)
+    if place.role == "agent":
+        document["target_url"] = place.http_url
+        return convert(document, AgentSettings)
+    document["http_address"] = place.http_address
+    return convert(document, EntrySettings)
--- /dev/null
+++ b/src/waxwinghold_bench/daemon_slopes.py
@@ -0,0 +1,184 @@
+"""Slopes of whole processes: targets, peers, customers, entries and streams."""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import pathlib
+import tempfile
+
+from waxwinghold._clock import Clock
+from waxwinghold._sheet import write_sheet
+from waxwinghold_standins.engine import Engine
+from waxwinghold_standins.platform import Platform
+
+from .bench import bench_sheet, way_through_entry
+from .children import Child, ChildError
+from .crowd import Crowd
+from .fleet import Fleet
+from .load import run_load
+from .places import make_places, process_settings
+from .sheet_cost import make_sheet, make_store
+from .usage import rates_between, read_usage
+
+DATA_CENTRE = "nadi"
+SETTLE_S = 4.0
+WINDOW_S = 8.0
+UP_LIMIT_S = 10.0
+UP_POLL_S = 0.1
+MIB = 1024 * 1024
+PLACES_LIMIT_COUNT = 128
+
+
+async def entry_slopes():
+    """Print what an idle entry costs against targets, peers and the sheet."""
+    print("\nidle entry: targets | peers | customers | core % | MiB | bytes/s")
+    for targets, peers, customers in (
+        (16, 0, 10),
+        (64, 0, 10),
+        (128, 0, 10),
+        (16, 8, 10),
+        (16, 32, 10),
+        (16, 0, 2500),
+        (1392, 0, 2500),
+    ):
+        rates = await _measure_entry(targets, peers, customers)
+        _print_rates(f"{targets:19} | {peers:5} | {customers:9}", rates)
+
+
+async def agent_slope():
+    """Print what an idle agent costs against the entries linked to it."""
+    print("idle agent: entries | targets listed | customers | core % | MiB | bytes/s")
+    for entries, targets, customers in (
+        (1, 16, 10),
+        (8, 16, 10),
+        (32, 16, 10),
+        (64, 16, 10),
+        (8, 1392, 2500),
+    ):
+        rates = await _measure_agent(entries, targets, customers)
+        _print_rates(f"{entries:19} | {targets:14} | {customers:9}", rates)
+
+
+def _print_rates(row, rates):
+    resident = rates.resident_bytes / MIB
+    wire = rates.wire_bytes_per_second
+    print(
+        f"{row} | {rates.core_percent:6.2f} | {resident:5.1f} | {wire:9.0f}", flush=True
+    )
+
+
+async def _measure_entry(targets_count, peers_count, customers_count):
+    sheet, agents = _placed_sheet(targets_count, customers_count)
+    entry = _places("entry", ["entry-0"])[0]
+    peers = _places("entry", [f"peer-{n}" for n in range(peers_count)])
+    crowd = Crowd(clock=Clock(), store=make_store(sheet))
+    platform = Platform(sheet=write_sheet(sheet))
+    async with crowd.present(), platform.serving() as url:
+        servers = crowd.listen(agents + peers, known=[entry])
+        document = process_settings(entry, platform_url=url, known=peers)
+        document["http_address"] = entry.http_address
+        document["peers"] = [peer.peer() for peer in peers]
+        document["peers_limit_count"] = max(1, peers_count)
+        with _daemon(entry, document) as child:
+            await _until(lambda: all(server.connections for server in servers), child)
+            if peers:
+                await crowd.connect(peers, peer=entry)
+            return await _rates(child, [*agents, *peers, entry])
+
+
+async def _measure_agent(entries_count, targets_count, customers_count):
+    sheet, agents = _placed_sheet(targets_count, customers_count)
+    agent = agents[0]
+    entries = _places("entry", [f"entry-{n}" for n in range(entries_count)])
+    crowd = Crowd(clock=Clock(), store=make_store(sheet))
+    async with crowd.present(), Engine().serving() as url:
+        document = process_settings(agent, platform_url=url, known=entries)
+        document["target_url"] = url
+        with _daemon(agent, document) as child:
+            await crowd.connect(entries, peer=agent)
+            return await _rates(child, [agent])
+
+
+def _placed_sheet(targets_count, customers_count):
+    """Return a sheet in one data centre, and the places of its targets."""
+    sheet = make_sheet(targets_count=targets_count, customers_count=customers_count)
+    names = [row.name for row in sheet.targets]
+    # Beyond the entry's limit on links only the rows matter, not the places.
+    agents = _places("agent", names[:PLACES_LIMIT_COUNT])
+    placed = [
+        dataclasses.replace(
+            row,
+            data_centre=DATA_CENTRE,
+            agent_address=place.link_address,
+            agent_public_key=place.public_key,
+        )
+        for row, place in zip(sheet.targets, agents)
+    ]
+    targets = (*placed, *sheet.targets[len(placed) :])
+    return dataclasses.replace(sheet, targets=targets), agents
+
+
+def _places(role, names):
+    places = make_places(role=role, names=dict.fromkeys(names, DATA_CENTRE))
+    return list(places.values())
+
+
+@contextlib.contextmanager
+def _daemon(place, document):
+    with tempfile.TemporaryDirectory(prefix="waxwinghold-") as directory:
+        path = pathlib.Path(directory, "settings.json")
+        path.write_text(json.dumps(document))
+        child = Child(
+            name=place.name,
+            module="waxwinghold",
+            arguments=[place.role, str(path)],
+            log_path=pathlib.Path(directory, "log"),
+        )
+        try:
+            yield child
+        finally:
+            child.kill()
+
+
+async def _until(condition, child):
+    try:
+        async with asyncio.timeout(UP_LIMIT_S):
+            while not condition():
+                child.check()
+                await asyncio.sleep(UP_POLL_S)
+    except TimeoutError as error:
+        raise ChildError(f"{child.name} is not ready: {child.log_tail()}") from error
+
+
+async def _rates(child, places):
+    await asyncio.sleep(SETTLE_S)
+    child.check()
+    ports = [int(place.link_address.rpartition(":")[2]) for place in places]
+    before = read_usage(child.pid, ports=ports)
+    await asyncio.sleep(WINDOW_S)
+    return rates_between(before, read_usage(child.pid, ports=ports))
+
+
+async def streams_slope():
+    """Print what requests and tokens cost an entry and an agent."""
+    print("\nstreams | tokens each | requests | tokens | entry cpu ms | agents cpu ms")
+    fleet = Fleet(sheet=bench_sheet(), engine_options={"step_ms": 20})
+    async with fleet.running():
+        (entry,) = fleet.entries
+        pids = [fleet.children[entry].pid]
+        pids += [fleet.children[agent].pid for agent in fleet.agents]
+        for streams_count, tokens_count in ((8, 4), (8, 64), (32, 4), (32, 64)):
+            way = way_through_entry(fleet, tokens_count=tokens_count)
+            before = [read_usage(pid).cpu_ms for pid in pids]
+            result = await run_load(
+                make_call=way.make_call,
+                callers_count=streams_count,
+                duration_s=WINDOW_S,
+            )
+            used = [read_usage(pid).cpu_ms - was for pid, was in zip(pids, before)]
+            print(
+                f"{streams_count:7} | {tokens_count:11} | {result.whole_count:8} | "
+                f"{result.tokens_count:6} | {used[0]:12.0f} | {sum(used[1:]):13.0f}",
+                flush=True,
+            )
--- /dev/null
+++ b/src/waxwinghold_bench/load.py
@@ -0,0 +1,113 @@
+"""A bounded load of streamed requests, with latencies by ``hdrhistogram``."""
+
+import asyncio
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+import aiohttp
+from hdrh.histogram import HdrHistogram
+
+NS_PER_US = 1000
+US_PER_MS = 1000
+HIGHEST_US = 60_000_000
+SIGNIFICANT_DIGITS = 3
+END_MARK = b"event: end"
+TOKEN_MARK = b"id: "
+ANSWER_LIMIT_S = 30
+
+
+def _histogram():
+    return HdrHistogram(1, HIGHEST_US, SIGNIFICANT_DIGITS)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Call:
+    """One HTTP request to be sent.
+
+    Args:
+        url: Where to.
+        headers: Its headers.
+        body: Its JSON body, in plain types.
+    """
+
+    url: str
+    body: dict
+    headers: dict[str, str] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class LoadResult:
+    """What a load has seen so far; latencies are in microseconds."""
+
+    first_token: HdrHistogram = field(default_factory=_histogram)
+    between_tokens: HdrHistogram = field(default_factory=_histogram)
+    whole_count: int = 0
+    broken_count: int = 0
+    tokens_count: int = 0
+    elapsed_s: float = 0.0
+
+    @property
+    def requests_per_second(self):
+        """Whole answers for each second."""
+        return self.whole_count / self.elapsed_s
+
+
+def percentile_ms(histogram, percentile):
+    """Return a percentile of a histogram of microseconds, in milliseconds."""
+    return histogram.get_value_at_percentile(percentile) / US_PER_MS
+
+
+async def run_load(*, make_call: Callable[[], Call], callers_count, duration_s):
+    """Let callers send one streamed request after another, and measure.
+
+    Args:
+        make_call: Returns the next request to send.
+        callers_count: Callers at the same time.
+        duration_s: Time after which no caller starts another request.
+    """
+    result = LoadResult()
+    start_s = time.monotonic()
+    connector = aiohttp.TCPConnector(limit=callers_count)
+    timeout = aiohttp.ClientTimeout(total=ANSWER_LIMIT_S)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        callers = [
+            _call_until(session, make_call, start_s + duration_s, result)
+            for _ in range(callers_count)
+        ]
+        await asyncio.gather(*callers)
+    result.elapsed_s = time.monotonic() - start_s
+    return result
+
+
+async def _call_until(session, make_call, end_s, result):
+    while time.monotonic() < end_s:
+        try:
+            whole = await _one_call(session, make_call(), result)
+        except (aiohttp.ClientError, TimeoutError):
+            whole = False
+        if whole:
+            result.whole_count += 1
+        else:
+            result.broken_count += 1
+
+
+async def _one_call(session, call, result):
+    """Read one streamed answer; return whether its end came."""
+    last_ns = time.monotonic_ns()
+    first = True
+    tail = b""
+    async with session.post(call.url, json=call.body, headers=call.headers) as answer:
+        if answer.status != 200:
+            return False
+        async for chunk in answer.content.iter_any():
+            tokens = chunk.count(TOKEN_MARK)
+            tail = (tail + chunk)[-256:]
+            if not tokens:
+                continue
+            now_ns = time.monotonic_ns()
+            histogram = result.first_token if first else result.between_tokens
+            histogram.record_value(max(1, (now_ns - last_ns) // NS_PER_US))
+            result.tokens_count += tokens
+            first, last_ns = False, now_ns
+    return END_MARK in tail
