Add replays of request traces through the policies

Cause: the choice policies need one trace, one clock and several seeds. Ruled out: a model of a whole cluster; only queues stand at the interfaces.

--- /dev/null
+++ b/src/waxwinghold_bench/replay.py
@@ -0,0 +1,376 @@
+"""Replays traces through the policy objects themselves, under a virtual clock.
+
+Queues stand at the interfaces: entries choose by the policy under test, and
+targets queue by the agents' own queue. Nothing else of a cluster is modelled.
+"""
+
+import heapq
+import itertools
+import random
+from collections import Counter, OrderedDict, deque
+from dataclasses import dataclass, replace
+
+from hdrh.histogram import HdrHistogram
+
+from waxwinghold._agent.queueing import QUEUE_POLICIES, Waiting
+from waxwinghold._messages import Report
+from waxwinghold._policy import Candidate, ChoiceRequest, RetryBudget, choice_policy
+
+from .traces import request_trace
+
+DATA_CENTRES = ("nadi", "lautoka", "sigatoka")
+ENTRIES_COUNT = 8
+TARGETS_COUNT = 16
+SLOTS_COUNT = 16
+STEP_MS = 20.0
+SLOW_FACTOR = 3.0
+CONTENTION_RATIO = 0.3
+PREFILL_MS = 50.0
+CACHED_PREFIXES_COUNT = 24
+REPORTED_PREFIXES_COUNT = 8
+LOST_EVENTS_RATIO = 0.2
+REPORT_INTERVAL_MS = 1000.0
+REPORT_DELAY_MAX_MS = 1000.0
+LATE_REPORT_MS = 4000.0
+LINK_DELAY_MS = 0.1
+FAR_LINK_DELAY_MS = 0.5
+DEADLINE_MS = 20_000.0
+PATIENCE_MS = 3000.0
+RETRY_RATIO = 0.1
+QUEUE_LIMIT_COUNT = 10_000
+HIGHEST_US = 120_000_000
+US_PER_MS = 1000
+PAUSE_START_RATIO = 0.4
+PAUSE_MS = 5000.0
+
+
+def _histogram():
+    return HdrHistogram(1, HIGHEST_US, 3)
+
+
+@dataclass(kw_only=True)
+class ReplayResult:
+    """What a replay saw; histograms are in microseconds."""
+
+    waits: HdrHistogram
+    first_tokens: HdrHistogram
+    busy_ms: Counter
+    hits_count: int = 0
+    started_count: int = 0
+    lost_count: int = 0
+
+    @property
+    def busiest_ratio(self):
+        """Work of the busiest target over the mean."""
+        return max(self.busy_ms.values()) * TARGETS_COUNT / self.busy_ms.total()
+
+    @property
+    def hits_ratio(self):
+        """Part of the requests that found their prefix cached."""
+        return self.hits_count / self.started_count
+
+    def wait_ms(self, percentile):
+        """Return a percentile of the wait in the queue."""
+        return self.waits.get_value_at_percentile(percentile) / US_PER_MS
+
+    def first_token_ms(self, percentile):
+        """Return a percentile of the time to the first token."""
+        return self.first_tokens.get_value_at_percentile(percentile) / US_PER_MS
+
+
+@dataclass(kw_only=True, eq=False)
+class _Request:
+    """One arrival on its way."""
+
+    arrival: object
+    entry: object
+    target: str = ""
+    tried: frozenset = frozenset()
+    attempt: int = 0
+    started: bool = False
+
+
+class Replay:
+    """One run of one scenario under one policy.
+
+    Args:
+        scenario: The ``Scenario``.
+        policy: Name of the choice policy.
+        seed: Fixes the trace and every draw.
+        duration_ms: Length of the trace.
+        queue: Name of the agents' queue policy.
+        policy_arguments: Further arguments of the choice policy.
+    """
+
+    def __init__(
+        self,
+        *,
+        scenario,
+        policy,
+        seed,
+        duration_ms=60_000.0,
+        queue="fair",
+        policy_arguments=None,
+    ):
+        self._rng = random.Random(f"replay {seed}")
+        self._events = []
+        self._sequence = itertools.count()
+        self._scenario = scenario
+        self._duration_ms = duration_ms
+        self._seed = seed
+        self.now_ms = 0.0
+        self.result = ReplayResult(
+            waits=_histogram(), first_tokens=_histogram(), busy_ms=Counter()
+        )
+        self.targets = {
+            target.name: target
+            for target in (
+                _Target(replay=self, number=number, queue=queue)
+                for number in range(TARGETS_COUNT)
+            )
+        }
+        self.entries = [
+            _Entry(
+                replay=self,
+                number=number,
+                policy=policy,
+                seed=seed,
+                arguments=policy_arguments or {},
+            )
+            for number in range(ENTRIES_COUNT)
+        ]
+        self._slow_down()
+
+    def at(self, at_ms, action, *arguments):
+        """Run ``action`` at a time of the virtual clock."""
+        heapq.heappush(self._events, (at_ms, next(self._sequence), action, arguments))
+
+    def run(self):
+        """Run to the end and return the ``ReplayResult``."""
+        for arrival in self._trace():
+            self.at(arrival.at_ms, self._arrive, arrival)
+        for target in self.targets.values():
+            self.at(self._rng.uniform(0, REPORT_INTERVAL_MS), target.report)
+        while self._events:
+            self.now_ms, _, action, arguments = heapq.heappop(self._events)
+            if self.now_ms > self._duration_ms + DEADLINE_MS:
+                break
+            action(*arguments)
+        return self.result
+
+    def _trace(self):
+        mean_ms = STEP_MS * (1 + CONTENTION_RATIO) * self._scenario.steps_mean_count
+        capacity = TARGETS_COUNT * SLOTS_COUNT * 1000 / (mean_ms + PREFILL_MS)
+        return request_trace(
+            self._scenario,
+            seed=self._seed,
+            duration_ms=self._duration_ms,
+            rate_per_second=capacity * self._scenario.load_ratio,
+            data_centres=DATA_CENTRES,
+        )
+
+    def _arrive(self, arrival):
+        entries = [e for e in self.entries if e.data_centre == arrival.data_centre]
+        entry = self._rng.choice(entries)
+        entry.budget.record_first(now_ms=self.now_ms)
+        entry.send(_Request(arrival=arrival, entry=entry))
+
+    def _slow_down(self):
+        targets = list(self.targets.values())
+        for target in targets[: self._scenario.slow_targets_count]:
+            target.step_ms *= SLOW_FACTOR
+        for target in targets[: self._scenario.late_targets_count]:
+            target.report_delay_ms = LATE_REPORT_MS
+        if self._scenario.pause:
+            start_ms = self._duration_ms * PAUSE_START_RATIO
+            for target in targets[::2]:
+                self.at(start_ms, target.pause)
+                self.at(start_ms + PAUSE_MS, target.go_on)
+
+
+class _Entry:
+    """An entry: a policy, a budget, and its own late view of the targets."""
+
+    def __init__(self, *, replay, number, policy, seed, arguments):
+        self._replay = replay
+        self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        rng = random.Random(f"entry {seed} {number}")
+        self._policy = choice_policy.make(policy, rng=rng, **arguments)
+        self.budget = RetryBudget(ratio=RETRY_RATIO)
+        self._candidates = {
+            name: Candidate(
+                name=name,
+                data_centre=target.data_centre,
+                slots_count=SLOTS_COUNT,
+                link_delay_ms=self._delay_ms(target),
+            )
+            for name, target in replay.targets.items()
+        }
+
+    def send(self, request):
+        """Choose a target for ``request`` and send it there."""
+        arrival = request.arrival
+        wanted = ChoiceRequest(
+            data_centre=self.data_centre,
+            priority=arrival.priority,
+            prefix=arrival.prefix,
+            steps_count=arrival.steps_count,
+            tried=request.tried,
+        )
+        now_ms = self._replay.now_ms
+        candidates = list(self._candidates.values())
+        chosen = self._policy.choose(candidates, request=wanted, now_ms=now_ms)
+        request.target = chosen.name
+        request.attempt += 1
+        self._count(chosen.name, 1)
+        target = self._replay.targets[chosen.name]
+        self._replay.at(now_ms + chosen.link_delay_ms, target.enqueue, request)
+        self._replay.at(now_ms + PATIENCE_MS, self._retry, request, request.attempt)
+
+    def finished(self, name):
+        """Count that a request of this entry has left a target."""
+        self._count(name, -1)
+
+    def take_report(self, name, report):
+        """Take in a target's report."""
+        candidate = self._candidates[name]
+        self._candidates[name] = replace(
+            candidate,
+            report=report,
+            report_at_ms=self._replay.now_ms,
+            in_flight_at_report_count=candidate.local_in_flight_count,
+        )
+
+    def _retry(self, request, attempt):
+        """Send a request that has waited too long to another target."""
+        if request.started or request.attempt != attempt:
+            return
+        now_ms = self._replay.now_ms
+        if request.tried or not self.budget.take_retry(now_ms=now_ms):
+            return
+        if not self._replay.targets[request.target].withdraw(request):
+            return
+        self._count(request.target, -1)
+        request.tried = frozenset({request.target})
+        self.send(request)
+
+    def _count(self, name, change):
+        candidate = self._candidates[name]
+        count = candidate.local_in_flight_count + change
+        self._candidates[name] = replace(candidate, local_in_flight_count=count)
+
+    def _delay_ms(self, target):
+        near = target.data_centre == self.data_centre
+        return LINK_DELAY_MS if near else FAR_LINK_DELAY_MS
+
+
+class _Target:
+    """A target: the agent's queue, slots, a prefix cache, late reports."""
+
+    def __init__(self, *, replay, number, queue):
+        self.name = f"target-{number}"
+        self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
+        self.step_ms = STEP_MS
+        self.report_delay_ms = 0.0
+        self._replay = replay
+        self._rng = random.Random(f"{self.name}")
+        self._queue = QUEUE_POLICIES[queue](limit_count=QUEUE_LIMIT_COUNT)
+        self._running_count = 0
+        self._paused = False
+        self._cache = OrderedDict()
+        self._events = deque(maxlen=REPORTED_PREFIXES_COUNT)
+        self._last_wait_ms = 0.0
+
+    def enqueue(self, request):
+        """Let a request wait."""
+        arrival = request.arrival
+        now_ms = self._replay.now_ms
+        waiting = Waiting(
+            request_id=str(id(request)),
+            customer=arrival.customer,
+            deadline_ms=arrival.at_ms + DEADLINE_MS,
+            queued_ms=now_ms,
+            priority=arrival.priority,
+            cost=arrival.steps_count,
+            payload=request,
+        )
+        self._queue.put(waiting)
+        self._start_some()
+
+    def withdraw(self, request):
+        """Return whether ``request`` still waited; it does no longer."""
+        return self._queue.remove(str(id(request))) is not None
+
+    def pause(self):
+        """Start nothing from now on."""
+        self._paused = True
+
+    def go_on(self):
+        """Start requests again."""
+        self._paused = False
+        self._start_some()
+
+    def report(self):
+        """Send a report to every entry, each late by a time of its own."""
+        report = Report(
+            waiting_count=len(self._queue),
+            running_count=self._running_count,
+            slots_count=SLOTS_COUNT,
+            step_ms=self.step_ms,
+            queue_wait_ms=self._last_wait_ms,
+            prefixes=tuple(self._events),
+        )
+        now_ms = self._replay.now_ms
+        for entry in self._replay.entries:
+            delay_ms = self.report_delay_ms + self._rng.uniform(0, REPORT_DELAY_MAX_MS)
+            self._replay.at(now_ms + delay_ms, entry.take_report, self.name, report)
+        self._replay.at(now_ms + REPORT_INTERVAL_MS, self.report)
+
+    def _start_some(self):
+        while self._running_count < SLOTS_COUNT and not self._paused:
+            item = self._queue.take(self._replay.now_ms)
+            if item is None:
+                break
+            self._start(item)
+        for item in self._queue.expired(self._replay.now_ms):
+            self._replay.result.lost_count += 1
+            item.payload.entry.finished(self.name)
+
+    def _start(self, item):
+        request = item.payload
+        request.started = True
+        result = self._replay.result
+        now_ms = self._replay.now_ms
+        self._running_count += 1
+        busy_ratio = self._running_count / SLOTS_COUNT
+        step_ms = self.step_ms * (1 + CONTENTION_RATIO * busy_ratio)
+        hit = self._use_prefix(request.arrival.prefix)
+        prefill_ms = 0.0 if hit else PREFILL_MS
+        service_ms = prefill_ms + request.arrival.steps_count * step_ms
+        self._last_wait_ms = now_ms - item.queued_ms
+        first_ms = now_ms + prefill_ms + step_ms - request.arrival.at_ms
+        result.waits.record_value(_us(now_ms - request.arrival.at_ms))
+        result.first_tokens.record_value(_us(first_ms))
+        result.busy_ms[self.name] += service_ms
+        result.hits_count += hit
+        result.started_count += 1
+        self._replay.at(now_ms + service_ms, self._end, request)
+
+    def _end(self, request):
+        self._running_count -= 1
+        request.entry.finished(self.name)
+        self._start_some()
+
+    def _use_prefix(self, prefix):
+        hit = prefix in self._cache
+        self._cache[prefix] = True
+        self._cache.move_to_end(prefix)
+        if len(self._cache) > CACHED_PREFIXES_COUNT:
+            self._cache.popitem(last=False)
+        if not hit and self._rng.random() >= LOST_EVENTS_RATIO:
+            self._events.append(prefix)
+        return hit
+
+
+def _us(duration_ms):
+    return max(1, round(duration_ms * US_PER_MS))
--- a/src/waxwinghold_bench/traces.py
+++ b/src/waxwinghold_bench/traces.py
@@ -2,6 +2,7 @@
 
 import math
 import random
+from dataclasses import dataclass
 
 EXPERTS_COUNT = 64
 DAY_MINUTES = 1440
@@ -53,3 +54,91 @@
     floor = 0.05
     total = sum(raw) + floor * len(raw)
     return [(value + floor) / total for value in raw]
+
+
+@dataclass(frozen=True, kw_only=True)
+class Scenario:
+    """One kind of traffic, and what is wrong with the targets meanwhile.
+
+    Args:
+        load_ratio: Offered work over the targets' capacity.
+        steps_mean_count: Mean of the exponential length of answers.
+        prefixes_count: Prompt prefixes in use, of Zipf popularity.
+        large_share: Part of the traffic that three customers of ten bring.
+        burst_ratio: Extra traffic of one customer in the middle third, over
+            the usual traffic of all.
+        slow_targets_count: Targets whose steps take three times as long.
+        late_targets_count: Targets whose reports come four seconds late.
+        pause: Whether half of the targets start nothing for five seconds.
+    """
+
+    name: str
+    load_ratio: float = 0.75
+    steps_mean_count: float = 60.0
+    prefixes_count: int = 200
+    large_share: float = 0.5
+    burst_ratio: float = 0.0
+    slow_targets_count: int = 0
+    late_targets_count: int = 0
+    pause: bool = False
+
+
+SCENARIOS = (
+    Scenario(name="morning sizing", steps_mean_count=30.0, prefixes_count=60),
+    Scenario(name="night care notes", load_ratio=0.5, steps_mean_count=120.0),
+    Scenario(name="privilege drafting", load_ratio=0.85, prefixes_count=1000),
+    Scenario(name="large customers", large_share=0.9),
+    Scenario(name="burst", load_ratio=0.6, burst_ratio=0.5),
+    Scenario(name="slow target", load_ratio=0.65, slow_targets_count=1),
+    Scenario(name="late reports", late_targets_count=1),
+    Scenario(name="brown-out", load_ratio=0.6, pause=True),
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """One request of a trace."""
+
+    at_ms: float
+    customer: str
+    data_centre: str
+    prefix: str
+    steps_count: int
+    priority: int
+
+
+def request_trace(scenario, *, seed, duration_ms, rate_per_second, data_centres):
+    """Return the arrivals of a scenario, in order.
+
+    Args:
+        rate_per_second: Rate of the usual traffic.
+        data_centres: Where callers come from, evenly.
+    """
+    rng = random.Random(f"{scenario.name} {seed}")
+    customers = [f"customer-{number}" for number in range(10)]
+    small_share = (1 - scenario.large_share) / 7
+    weights = [scenario.large_share / 3] * 3 + [small_share] * 7
+    prefixes = [f"{number:016x}" for number in range(scenario.prefixes_count)]
+    popularity = [1 / (place + 1) for place in range(scenario.prefixes_count)]
+    arrivals = []
+    now_ms = 0.0
+    while True:
+        burst = duration_ms / 3 <= now_ms < 2 * duration_ms / 3
+        extra = scenario.burst_ratio if burst else 0.0
+        now_ms += rng.expovariate(rate_per_second * (1 + extra)) * 1000
+        if now_ms >= duration_ms:
+            return arrivals
+        customer = rng.choices(customers, weights)[0]
+        if rng.random() < extra / (1 + extra):
+            customer = customers[-1]
+        steps = rng.expovariate(1 / scenario.steps_mean_count)
+        arrivals.append(
+            Arrival(
+                at_ms=now_ms,
+                customer=customer,
+                data_centre=rng.choice(data_centres),
+                prefix=rng.choices(prefixes, popularity)[0],
+                steps_count=1 + int(steps),
+                priority=rng.choice((0, 1, 1, 2)),
+            )
+        )
