Weigh the work sent to each target, and what is unknown, in the choice

Cause: random pairs with prefix affinity crowded nearly full targets: on equal targets round robin had the better p95.

--- a/src/waxwinghold/_policy/weighed.py
+++ b/src/waxwinghold/_policy/weighed.py
@@ -1,11 +1,14 @@
 """Target choice by the expected time to the first token.
 
-Three things keep entries from crowding the target that looked idle last: an
-entry counts its own requests exactly, it trusts the rest of a report less the
-older it is, and it compares only a few targets drawn at random.
+Three things keep entries from crowding the target that looked idle last. An
+entry counts its own requests exactly and trusts the rest of a report less the
+older it is. It compares only the targets that it has sent least work to, and a
+lead in that work counts as time, so that a cached prefix or a good report
+bends the even spread only as far as it pays.
 """
 
 import hashlib
+import heapq
 import math
 from collections import OrderedDict
 
@@ -16,7 +19,7 @@
     reported_count,
 )
 
-TRUST_DECAY_MS = 2000.0
+TRUST_DECAY_MS = 300.0
 MEAN_SMOOTHING_RATIO = 0.02
 PREFIXES_LIMIT_COUNT = 4096
 HOME_SAVING_RATIO = 0.5
@@ -28,75 +31,101 @@
 
     Args:
         rng: Source of every random draw.
-        near_draws_count: Targets drawn in the entry's own data centre.
-        far_draws_count: Targets drawn in other data centres.
+        near_count: Targets compared in the entry's own data centre.
+        far_count: Targets compared in other data centres.
         prefill_ms: Time that a cached prompt prefix saves.
         away_penalty_ms: Price of leaving the data centre, beyond the delay.
+        lead_ratio: Price of a target's lead in the work that this entry sent,
+            for each millisecond that all its slots take for it.
     """
 
     def __init__(
         self,
         *,
         rng=None,
-        near_draws_count=2,
-        far_draws_count=1,
+        near_count=3,
+        far_count=2,
         prefill_ms=50.0,
         away_penalty_ms=2.0,
+        lead_ratio=1.0,
     ):
         super().__init__(rng=rng)
-        self._near_draws_count = near_draws_count
-        self._far_draws_count = far_draws_count
+        self._near_count = near_count
+        self._far_count = far_count
         self._prefill_ms = prefill_ms
         self._away_penalty_ms = away_penalty_ms
         self._mean_steps_count = 0.0
         self._mean_others_ratio = 0.0
+        self._mean_step_ms = 0.0
+        self._lead_ratio = lead_ratio
+        self._sent_work_ms = {}
         self._sent_prefixes = OrderedDict()
 
     def wait_ms(self, candidate, *, now_ms):
         """Return the expected wait of a new request in the candidate's queue."""
         load = self._load(candidate, now_ms=now_ms)
-        excess = max(0.0, load + 1 - candidate.slots_count)
+        # What others sent since is unknown: a nearly full target may be full.
+        spread = math.sqrt(1 + max(0.0, load - candidate.local_in_flight_count))
+        excess = expected_excess(load + 1 - candidate.slots_count, spread=spread)
         return excess / candidate.slots_count * self._service_ms(candidate)
 
     def _choose(self, usable, *, request, now_ms):
         self._learn_steps(request.steps_count)
-        home = self._prefix_home(usable, request=request)
-        drawn = self._draw(usable, request=request)
+        near = [one for one in usable if one.data_centre == request.data_centre]
+        far = [one for one in usable if one.data_centre != request.data_centre]
+        leads_ms = self._leads_ms(near) | self._leads_ms(far)
+        compared = heapq.nsmallest(
+            self._near_count, near, key=lambda one: leads_ms[one.name]
+        )
+        compared += heapq.nsmallest(
+            self._far_count, far, key=lambda one: leads_ms[one.name]
+        )
+        home = self._prefix_home(usable, near or far, request.prefix)
         if home is not None:
-            drawn.append(home)
-        for candidate in drawn:
+            compared.append(home)
+        for candidate in compared:
             self._learn_others(candidate)
 
         def cost_ms(candidate):
             cost = self._first_token_ms(candidate, request=request, now_ms=now_ms)
+            cost += self._lead_ratio * leads_ms[candidate.name]
             return cost - (candidate is home) * self._prefill_ms * HOME_SAVING_RATIO
 
-        best = min(drawn, key=cost_ms)
+        best = min(compared, key=cost_ms)
         self._remember(request.prefix, best.name)
+        work_ms = max(1.0, request.steps_count) * self._step_ms(best)
+        self._sent_work_ms[best.name] += work_ms / best.slots_count
         return best
 
-    def _draw(self, usable, *, request):
-        near = [one for one in usable if one.data_centre == request.data_centre]
-        far = [one for one in usable if one.data_centre != request.data_centre]
-        if not near:
-            near, far = far, []
-        drawn = self._sample(near, self._near_draws_count)
-        drawn += self._sample(far, self._far_draws_count)
-        return drawn
-
-    def _sample(self, candidates, count):
-        return self._rng.sample(candidates, min(count, len(candidates)))
-
-    def _prefix_home(self, usable, *, request):
+    def _leads_ms(self, candidates):
+        """Return by name how much more work a target got than the one with least.
+
+        Newcomers begin at the least.
+        """
+        sent_ms = self._sent_work_ms
+        known = [sent_ms[one.name] for one in candidates if one.name in sent_ms]
+        least_ms = min(known, default=0.0)
+        for one in candidates:
+            if one.name not in sent_ms:
+                start_ms = least_ms + self._rng.random() * DEFAULT_SERVICE_MS
+                sent_ms[one.name] = start_ms
+        return {one.name: sent_ms[one.name] - least_ms for one in candidates}
+
+    def _step_ms(self, candidate):
+        """Return the target's step time, or the usual one before its report."""
+        if candidate.report is not None and candidate.report.step_ms:
+            return candidate.report.step_ms
+        return self._mean_step_ms or 1.0
+
+    def _prefix_home(self, usable, first, prefix):
         """Return where this entry sent the prefix, or where all would send it."""
-        if not request.prefix:
+        if not prefix:
             return None
-        sent_to = self._sent_prefixes.get(request.prefix)
+        sent_to = self._sent_prefixes.get(prefix)
         for candidate in usable:
             if candidate.name == sent_to:
                 return candidate
-        near = [one for one in usable if one.data_centre == request.data_centre]
-        return max(near or usable, key=lambda one: rendezvous(request.prefix, one.name))
+        return max(first, key=lambda one: rendezvous(prefix, one.name))
 
     def _first_token_ms(self, candidate, *, request, now_ms):
         load_ratio = self._load(candidate, now_ms=now_ms) / candidate.slots_count
@@ -125,9 +154,9 @@
         return candidate.local_in_flight_count + others
 
     def _service_ms(self, candidate):
-        if candidate.report is None or not candidate.report.step_ms:
+        if not self._mean_steps_count:
             return DEFAULT_SERVICE_MS
-        return max(1.0, self._mean_steps_count) * candidate.report.step_ms
+        return self._mean_steps_count * self._step_ms(candidate)
 
     def _learn_steps(self, steps_count):
         if not self._mean_steps_count:
@@ -141,6 +170,9 @@
         ratio = others_count(candidate) / candidate.slots_count
         change = ratio - self._mean_others_ratio
         self._mean_others_ratio += MEAN_SMOOTHING_RATIO * change
+        step_ms = candidate.report.step_ms
+        usual_ms = self._mean_step_ms or step_ms
+        self._mean_step_ms = usual_ms + MEAN_SMOOTHING_RATIO * (step_ms - usual_ms)
 
     def _remember(self, prefix, name):
         if not prefix:
@@ -151,6 +183,13 @@
             self._sent_prefixes.popitem(last=False)
 
 
+def expected_excess(mean, *, spread):
+    """Return the mean of the part above 0 of a normally distributed number."""
+    distance = mean / spread
+    density = math.exp(-distance * distance / 2) / math.sqrt(2 * math.pi)
+    return spread * density + mean * (1 + math.erf(distance / math.sqrt(2))) / 2
+
+
 def others_count(candidate):
     """Return the reported requests that other entries had sent."""
     reported = reported_count(candidate.report)
--- /dev/null
+++ b/src/waxwinghold_bench/policy_bench.py
@@ -0,0 +1,69 @@
+"""Prints how the choice policies do on every trace, over several seeds.
+
+Run it with ``python -m waxwinghold_bench.policy_bench``.
+"""
+
+import statistics
+
+import fire
+
+from waxwinghold._policy import choice_policy
+from waxwinghold._tool.reports import text_table
+
+from .replay import Replay
+from .traces import SCENARIOS
+
+HEADERS = (
+    "trace",
+    "policy",
+    "wait ms p50",
+    "p95",
+    "p99",
+    "first token ms p50",
+    "p95",
+    "p99",
+    "busiest/mean",
+    "prefix hits",
+    "lost",
+)
+MEASURES = (
+    lambda result: result.wait_ms(50),
+    lambda result: result.wait_ms(95),
+    lambda result: result.wait_ms(99),
+    lambda result: result.first_token_ms(50),
+    lambda result: result.first_token_ms(95),
+    lambda result: result.first_token_ms(99),
+    lambda result: result.busiest_ratio,
+    lambda result: result.hits_ratio,
+    lambda result: result.lost_count,
+)
+
+
+def main(*, seeds_count=3, duration_s=30):
+    """Print the table: means over the seeds.
+
+    Args:
+        seeds_count: Seeds for each trace and policy.
+        duration_s: Length of each trace.
+    """
+    rows = []
+    for scenario in SCENARIOS:
+        for policy in choice_policy.names():
+            results = [
+                Replay(
+                    scenario=scenario,
+                    policy=policy,
+                    seed=seed,
+                    duration_ms=duration_s * 1000.0,
+                ).run()
+                for seed in range(seeds_count)
+            ]
+            means = [statistics.mean(map(measure, results)) for measure in MEASURES]
+            cells = [f"{mean:.1f}" for mean in means[:6]]
+            cells += [f"{mean:.3f}" for mean in means[6:8]] + [f"{means[8]:.0f}"]
+            rows.append((scenario.name, policy, *cells))
+    print(text_table(HEADERS, rows))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
