Write keep-alives from a task of their own

Cause: each batch of events was awaited through a new task and a wait set. Ruled out: a timer in the reading loop, which would cancel the reading.

--- a/src/waxwinghold/_entry/sse.py
+++ b/src/waxwinghold/_entry/sse.py
@@ -30,6 +30,7 @@
         self._place = offset
         self._keepalive_ms = process.settings.keepalive_interval_ms
         self._last_ms = process.clock.now_ms()
+        self._written_ms = self._last_ms
         self._seat_name = ""
         self.response = None
 
@@ -45,25 +46,12 @@
             RequestError: The answer cannot be completed.
         """
         batches = attempts.stream()
-        pending = None
+        keeper = asyncio.create_task(self._keep_alive())
         try:
-            while True:
-                pending = pending or asyncio.ensure_future(anext(batches, None))
-                done, _ = await asyncio.wait(
-                    {pending}, timeout=self._keepalive_ms / MS_PER_SECOND
-                )
-                if not done:
-                    await self._keep_alive()
-                    continue
-                batch = pending.result()
-                pending = None
-                if batch is None:
-                    break
+            async for batch in batches:
                 await self._send_batch(attempts, batch)
         finally:
-            if pending is not None:
-                pending.cancel()
-                await asyncio.gather(pending, return_exceptions=True)
+            keeper.cancel()
             await batches.aclose()
         await self._start(attempts)
         await self._write(f'event: end\ndata: {{"length": {self._place}}}\n\n')
@@ -109,8 +97,16 @@
         self._last_ms = now_ms
 
     async def _keep_alive(self):
-        if self.started:
-            await self._write(": keep-alive\n\n")
+        """Write a comment whenever nothing was written for the interval."""
+        while True:
+            quiet_ms = self._clock.now_ms() - self._written_ms
+            if quiet_ms < self._keepalive_ms:
+                await self._clock.sleep_ms(self._keepalive_ms - quiet_ms)
+                continue
+            self._written_ms = self._clock.now_ms()
+            if self.started:
+                await self._write(": keep-alive\n\n")
 
     async def _write(self, text):
+        self._written_ms = self._clock.now_ms()
         await self.response.write(text.encode())
