Send what one turn of the event loop brings as one message of many frames

Cause: at each engine step an agent sent one message a stream, each with its own pass through the socket and CURVE. Ruled out: batches of tokens over time, which would add to the time between them.

--- a/src/waxwinghold/_links/client.py
+++ b/src/waxwinghold/_links/client.py
@@ -160,22 +160,29 @@
         while True:
             try:
                 async with asyncio.timeout(limit_s):
-                    frame = await socket.recv()
+                    frames = await socket.recv_multipart()
             except TimeoutError:
                 return
             self.heard_ms = self._clock.now_ms()
-            try:
-                message = decode(frame)
-            except MalformedFrameError as error:
-                log.warn('link: frame of "{}" dropped: {}', self.name, error)
-                continue
-            if isinstance(message, Hello):
-                if self._socket is socket:
-                    # The peer has lost this connection's state: open a new one.
+            for frame in frames:
+                if not self._take_frame(socket, frame):
                     return
-                self._greeted(socket, message)
-            elif self._socket is socket:
-                self._handle(message)
+
+    def _take_frame(self, socket, frame):
+        """Handle one frame; return whether the connection can go on."""
+        try:
+            message = decode(frame)
+        except MalformedFrameError as error:
+            log.warn('link: frame of "{}" dropped: {}', self.name, error)
+            return True
+        if isinstance(message, Hello):
+            if self._socket is socket:
+                # The peer has lost this connection's state: open a new one.
+                return False
+            self._greeted(socket, message)
+        elif self._socket is socket:
+            self._handle(message)
+        return True
 
     def _greeted(self, socket, hello):
         if hello.name != self.name:
--- a/src/waxwinghold/_links/server.py
+++ b/src/waxwinghold/_links/server.py
@@ -41,6 +41,7 @@
         self.inbox = asyncio.Queue(INBOX_LIMIT_COUNT)
         self.heard_ms = server.clock.now_ms()
         self.sequence = 0
+        self._unsent = []
 
     @property
     def name(self):
@@ -48,8 +49,17 @@
         return self.hello.name if self.hello else ""
 
     def send(self, message):
-        """Send ``message``; a peer that is gone gets nothing."""
-        self._server.send(self.routing_id, message)
+        """Send ``message``; a peer that is gone gets nothing.
+
+        What is sent within one turn of the event loop goes out together.
+        """
+        if not self._unsent:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._unsent.append(encode(message))
+
+    def _flush(self):
+        frames, self._unsent = self._unsent, []
+        self._server.send(self.routing_id, frames)
 
     async def run(self):
         """Handle the peer's messages in order until it falls silent."""
@@ -130,9 +140,11 @@
         secure_server(self._socket, settings)
         self._socket.bind(settings.link_address)
 
-    def send(self, routing_id, message):
-        """Send ``message`` to one connection; drop it if the peer is gone."""
-        future = self._socket.send_multipart((routing_id, encode(message)))
+    def send(self, routing_id, frames):
+        """Send ``frames`` to one connection; drop them if the peer is gone."""
+        if self._socket.closed:
+            return
+        future = self._socket.send_multipart((routing_id, *frames))
         future.add_done_callback(_consume_error)
 
     def broadcast(self, message):
