Let an idle agent sleep

Cause: the runner looked at its empty queue 20 times a second, each health check opened a connection, and the engine's model was read twice a second. Ruled out: longer health intervals, which would let a dead target look healthy.

--- a/src/waxwinghold/_agent/reconciler.py
+++ b/src/waxwinghold/_agent/reconciler.py
@@ -12,7 +12,7 @@
 
 log = logbook.Logger("agent")
 
-INTERVAL_MS = 500
+INTERVAL_MS = 2000
 DRAIN_CHECK_INTERVAL_MS = 50
 
 
--- a/src/waxwinghold/_agent/runner.py
+++ b/src/waxwinghold/_agent/runner.py
@@ -61,15 +61,20 @@
     async def run(self):
         """Start requests as slots get free, until cancelled."""
         while True:
-            try:
-                async with asyncio.timeout(TICK_INTERVAL_MS / 1000):
-                    await self._wake.wait()
-            except TimeoutError:
-                pass
-            self._wake.clear()
+            await self._await_work()
             self._refuse_expired()
             self._start_some()
 
+    async def _await_work(self):
+        """Wait to be woken; while requests wait, also look at their deadlines."""
+        limit_s = TICK_INTERVAL_MS / 1000 if len(self._queue) else None
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+        self._wake.clear()
+
     def refuse(self, work, verdict):
         """End ``work`` without an answer; the ledger's word goes before ours."""
         if work.key is not None:
--- a/src/waxwinghold/_agent/target.py
+++ b/src/waxwinghold/_agent/target.py
@@ -58,12 +58,19 @@
         await self._fresh.close()
 
     async def is_healthy(self):
-        """Return whether the target answers its health check now."""
+        """Return whether the target answers its health check now.
+
+        A pooled connection may have gone silent, so that only an answer over it
+        counts; anything else is checked over a new one.
+        """
+        return await self._answers_health(self._pooled) or (
+            await self._answers_health(self._fresh)
+        )
+
+    async def _answers_health(self, session):
         timeout = aiohttp.ClientTimeout(total=HEALTH_LIMIT_MS / 1000)
         try:
-            async with self._fresh.get(
-                f"{self._url}/health", timeout=timeout
-            ) as response:
+            async with session.get(f"{self._url}/health", timeout=timeout) as response:
                 document = await response.json()
                 return bool(document.get("healthy"))
         except (aiohttp.ClientError, TimeoutError, ValueError, AttributeError):
@@ -177,17 +184,15 @@
     async def _read(self, response, submit, place):
         """Yield (events, length) pairs; end early if the connection is dead."""
         parser = EventParser()
-        pending = None
         try:
             while True:
-                pending = pending or asyncio.ensure_future(response.content.readany())
-                done, _ = await asyncio.wait({pending}, timeout=self._silence_ms / 1000)
-                if not done:
+                try:
+                    async with asyncio.timeout(self._silence_ms / 1000):
+                        data = await response.content.readany()
+                except TimeoutError:
                     if await self._has_gone_on(submit.request_id, place):
                         return
                     continue
-                data = pending.result()
-                pending = None
                 if not data:
                     await self._check_known(submit.request_id)
                     return
@@ -198,9 +203,6 @@
                     return
         except aiohttp.ClientError:
             await self._check_known(submit.request_id)
-        finally:
-            if pending is not None:
-                pending.cancel()
 
     async def _has_gone_on(self, request_id, place):
         """Return whether the engine is ahead of what its connection brought."""
