Let a hold outlast a map switch, and free a map between held steps

Cause: the map protocol holds the ranks, switches and drops the old map while they stand, and then lets them go on. The stand-in ended the hold with the switch, and would have called the old map used until the next step began. Ruled out: an order that ends the hold and switches at once: a late one would let a rank go on by itself. Conclusion: GET /map shows the map of the next step to begin; a rank without a map says "".

--- a/src/waxwinghold_standins/_engine_control.py
+++ b/src/waxwinghold_standins/_engine_control.py
@@ -63,7 +63,7 @@
         maps = self.rank.maps
         return json_answer(
             {
-                "map_id": maps.map_id,
+                "map_id": maps.next_map_id,
                 "step": self.steps.step,
                 "hold_before": maps.hold_before,
                 "loaded": sorted(maps.loaded),
--- a/src/waxwinghold_standins/_maps.py
+++ b/src/waxwinghold_standins/_maps.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 INITIAL_MAP = "initial"
+NO_MAP = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -17,29 +18,42 @@
     """The expert maps of one rank.
 
     Args:
-        map_id: The map in force at the start, or ``None``: a rank that knows
+        map_id: The map in force at the start, or ``NO_MAP``: a rank that knows
             no map does not step.
     """
 
     def __init__(self, *, map_id=INITIAL_MAP):
         self.map_id = map_id
         self.hold_before = None
-        self.loaded = {} if map_id is None else {map_id: frozenset()}
+        self.loaded = {} if map_id == NO_MAP else {map_id: frozenset()}
         self.pending = None
+        self._next_step = 1
+        self._steps_now = False
 
     def may_begin(self, step):
         """Return whether the rank may run ``step``."""
-        if self.hold_before is not None and step >= self.hold_before:
-            return False
-        return self._map_at(step) is not None
+        held = self.hold_before is not None and step >= self.hold_before
+        return not held and self._map_at(step) != NO_MAP
 
     def begin(self, step):
         """Return the map in force in ``step``, which begins now."""
-        self.map_id = self._map_at(step)
-        if self.pending is not None and step >= self.pending.step:
-            self.pending = None
+        self._next_step = step
+        self._apply_pending()
+        self._next_step = step + 1
+        self._steps_now = True
         return self.map_id
 
+    def end(self, next_step):
+        """Take in that a step ended, or was lost, and which one is next."""
+        self._next_step = next_step
+        self._steps_now = False
+        self._apply_pending()
+
+    @property
+    def next_map_id(self):
+        """The map that the next step to begin uses."""
+        return self._map_at(self._next_step)
+
     @property
     def changes(self):
         """Whether a hold or a switch waits for its step."""
@@ -50,9 +64,10 @@
         self.hold_before = step
 
     def switch(self, map_id, step):
-        """Use a loaded map from ``step`` on; this also ends a hold."""
+        """Use a loaded map from ``step`` on; a hold stays as it is."""
         self.pending = PendingSwitch(map_id=map_id, step=step)
-        self.hold_before = None
+        if not self._steps_now:
+            self._apply_pending()
 
     def missing(self, experts):
         """Return those of ``experts`` that no loaded map has on this rank."""
@@ -73,6 +88,9 @@
         return waits or self.map_id == map_id
 
     def _map_at(self, step):
-        if self.pending is not None and step >= self.pending.step:
-            return self.pending.map_id
-        return self.map_id
+        due = self.pending is not None and step >= self.pending.step
+        return self.pending.map_id if due else self.map_id
+
+    def _apply_pending(self):
+        if self.pending is not None and self._next_step >= self.pending.step:
+            self.map_id, self.pending = self.pending.map_id, None
--- a/src/waxwinghold_standins/_rank.py
+++ b/src/waxwinghold_standins/_rank.py
@@ -30,7 +30,7 @@
         events_lag_ms: How late cache events become visible.
         events_gap_every_count: One cache event in this many is lost.
         load_lag_ms: How old the figures of a load report are.
-        map_id: The expert map at the start, or ``None`` for none.
+        map_id: The expert map at the start, or ``NO_MAP``.
     """
 
     def __init__(
@@ -132,6 +132,10 @@
         self.running = [item for item in self.running if not item.is_over]
         self.note_load()
 
+    def close_step(self, next_step):
+        """Take in that a step is over, be it done or lost."""
+        self.maps.end(next_step)
+
     def note_load(self):
         """Take down the figures that load reports show later."""
         if self.faults.load_lag_ms is not None:
--- a/src/waxwinghold_standins/_steps.py
+++ b/src/waxwinghold_standins/_steps.py
@@ -64,6 +64,7 @@
 
     def replace(self, place, rank):
         """Put a fresh rank in the place of a lost one."""
+        rank.close_step(self.step + 1)
         self.ranks[place] = rank
         self.wake()
 
@@ -95,6 +96,7 @@
             await self._until(lambda: self._may_end(begun_by))
             if self.ranks == begun_by:
                 self._end(duration_ms)
+            self._close()
 
     async def _until_next(self):
         if not self.wanted:
@@ -136,3 +138,8 @@
         self._advanced_ms = self._clock.now_ms()
         for rank in self.ranks:
             rank.end_step(duration_ms)
+
+    def _close(self):
+        for rank in self.ranks:
+            if rank is not None:
+                rank.close_step(self.step + 1)
--- a/src/waxwinghold_standins/lock_step.py
+++ b/src/waxwinghold_standins/lock_step.py
@@ -10,6 +10,7 @@
 from waxwinghold._settings import split_ip_port
 
 from ._http import until_ended
+from ._maps import NO_MAP
 from ._steps import Steps
 from .engine import Engine
 
@@ -78,7 +79,7 @@
         """
         host, port = split_ip_port(self.engines[place].url.removeprefix("http://"))
         await self.engines[place].stop()
-        engine = self._engine(map_id=None)
+        engine = self._engine(map_id=NO_MAP)
         self.engines[place] = engine
         await engine.start(host=host, port=port)
         self.steps.replace(place, engine.rank)
--- a/tests/test_standin_lock_step.py
+++ b/tests/test_standin_lock_step.py
@@ -52,9 +52,12 @@
         await self.order_all(group, "load_experts", experts=[1, 2], map_id="m2")
         step = group.steps.step + 5
         await self.order_all(group, "hold_before", step=step)
+        await self.until(lambda: group.steps.step == step - 1)
         await self.order_all(group, "switch_map", map_id="m2", step=step)
-        await self.assert_goes_on(group)
         await self.order_all(group, "drop_map", map_id="initial")
+        await self.assert_stands(group)
+        await self.order_all(group, "hold_before", step=None)
+        await self.assert_goes_on(group)
         _, answer = await self.get(f"{group.urls[0]}/steps")
         self.assertEqual(answer["mixed_count"], 0)
         maps = [record.map_ids[0] for record in group.steps.records]
@@ -109,3 +112,18 @@
         step = group.steps.step
         await asyncio.sleep(0.2)
         self.assertLessEqual(group.steps.step - step, 5)
+
+    async def test_a_map_in_use_is_not_dropped(self):
+        group = await self.group(step_ms=20.0)
+        await self.order_all(group, "load_experts", experts=[1], map_id="m2")
+        step = group.steps.step + 10
+        await self.order_all(group, "hold_before", step=step)
+        await self.order_all(group, "switch_map", map_id="m2", step=step)
+        for map_id in ("initial", "m2"):
+            status, _ = await self.order(group.urls[0], "drop_map", map_id=map_id)
+            self.assertEqual(status, 422)
+        _, answer = await self.get(f"{group.urls[0]}/map")
+        self.assertEqual(answer["map_id"], "initial")
+        await self.until(lambda: group.steps.step == step - 1)
+        _, answer = await self.get(f"{group.urls[0]}/map")
+        self.assertEqual(answer["map_id"], "m2")
