Load weights from the store, and kill ranks of a group's process

Cause: the cost of moving experts is bytes from a rate-limited store, and failures of a rank need groups in processes of their own. Ruled out: one process a rank: the ranks' steps would need a protocol of their own. Before and after: a fixed time for each expert before; now also the store's own rate, and only for experts that no loaded map has (15,000 bytes for three of four experts in the test). Conclusion: a group's control address kills and replaces single ranks.

--- /dev/null
+++ b/src/waxwinghold_standins/_loading.py
@@ -0,0 +1,64 @@
+"""How an engine gets weights: in a fixed time, or from the weight store."""
+
+import aiohttp
+
+
+class WeightLoader:
+    """Loads models and experts.
+
+    Args:
+        clock: Tells the time.
+        load_model_ms: Time to load a model version, beside the store's.
+        load_expert_ms: Time to load one expert, beside the store's.
+        weights_url: The weight store; without one nothing is read.
+        model: The model's name in the store.
+        model_bytes: Size of a model version without its experts.
+        expert_bytes: Size of one expert.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock,
+        load_model_ms=0.0,
+        load_expert_ms=0.0,
+        weights_url="",
+        model="model",
+        model_bytes=0,
+        expert_bytes=0,
+    ):
+        self.experts_loaded_count = 0
+        self._clock = clock
+        self._load_model_ms = load_model_ms
+        self._load_expert_ms = load_expert_ms
+        self._weights_url = weights_url
+        self._model = model
+        self._model_bytes = model_bytes
+        self._expert_bytes = expert_bytes
+
+    @property
+    def is_instant(self):
+        """Whether loading takes no time at all."""
+        return not (self._weights_url or self._load_model_ms or self._load_expert_ms)
+
+    async def load_model(self, version):
+        """Load a model version."""
+        await self._clock.sleep_ms(self._load_model_ms)
+        await self._read(version, "model", self._model_bytes)
+
+    async def load_experts(self, version, experts):
+        """Load experts one after another."""
+        for expert in sorted(experts, key=str):
+            await self._clock.sleep_ms(self._load_expert_ms)
+            await self._read(version, f"expert-{expert}", self._expert_bytes)
+
+    async def _read(self, version, part, size_bytes):
+        if not self._weights_url:
+            return
+        path = f"/weights/{self._model}/{version}/{part}?bytes={size_bytes}"
+        async with aiohttp.ClientSession() as session:
+            async with session.get(self._weights_url + path) as response:
+                response.raise_for_status()
+                async for _ in response.content.iter_any():
+                    # The stand-in keeps no weights, it only waits for them.
+                    continue
--- a/src/waxwinghold_standins/_orders.py
+++ b/src/waxwinghold_standins/_orders.py
@@ -1,10 +1,16 @@
 """Orders to an engine: the fence, and a registry of what each order does."""
 
 import asyncio
+import functools
 from dataclasses import dataclass
 
+import aiohttp
+import logbook
+
 from ._faults import bad_request
 
+log = logbook.Logger("engine")
+
 ORDERS = {}
 
 
@@ -45,31 +51,17 @@
 
     Args:
         rank: The rank that orders change.
-        clock: Tells the time.
+        loader: The ``WeightLoader``.
         checks_orders: Whether orders with an old fencing number are refused.
-        load_model_ms: Time to load a model version.
-        load_expert_ms: Time to load one expert that the rank does not have.
         wake: Called after each change.
     """
 
-    def __init__(
-        self,
-        *,
-        rank,
-        clock,
-        wake,
-        checks_orders=True,
-        load_model_ms=0.0,
-        load_expert_ms=0.0,
-    ):
+    def __init__(self, *, rank, loader, wake, checks_orders=True):
         self.rank = rank
+        self.loader = loader
         self.checks_orders = checks_orders
-        self.load_model_ms = load_model_ms
-        self.load_expert_ms = load_expert_ms
-        self.experts_loaded_count = 0
         self.fence = 0
         self.applied = []
-        self._clock = clock
         self._wake = wake
         self._loads = set()
 
@@ -94,12 +86,12 @@
         self._wake()
         return None
 
-    def after(self, duration_ms, change):
-        """Call ``change`` once a load of ``duration_ms`` is done."""
-        if duration_ms <= 0:
+    def after(self, load, change):
+        """Call ``change`` once ``load``, a coroutine function, is done."""
+        if self.loader.is_instant:
             change()
             return
-        task = asyncio.create_task(self._later(duration_ms, change))
+        task = asyncio.create_task(self._later(load, change))
         self._loads.add(task)
         task.add_done_callback(self._loads.discard)
 
@@ -110,8 +102,12 @@
             task.cancel()
         await asyncio.gather(*loads, return_exceptions=True)
 
-    async def _later(self, duration_ms, change):
-        await self._clock.sleep_ms(duration_ms)
+    async def _later(self, load, change):
+        try:
+            await load()
+        except aiohttp.ClientError as error:
+            log.warning("weights not loaded: {!r}", error)
+            return
         change()
         self._wake()
 
@@ -133,7 +129,7 @@
     def change():
         desk.rank.version = version
 
-    desk.after(desk.load_model_ms, change)
+    desk.after(functools.partial(desk.loader.load_model, version), change)
 
 
 @order("load_adapter", adapter=str)
@@ -153,13 +149,14 @@
 
 @order("load_experts", experts=list, map_id=str)
 def _load_experts(desk, *, experts, map_id):
-    missing_count = len(desk.rank.maps.missing(experts))
-    desk.experts_loaded_count += missing_count
+    missing = desk.rank.maps.missing(experts)
+    desk.loader.experts_loaded_count += len(missing)
+    load = functools.partial(desk.loader.load_experts, desk.rank.version, missing)
 
     def change():
         desk.rank.maps.add(map_id, experts)
 
-    desk.after(missing_count * desk.load_expert_ms, change)
+    desk.after(load, change)
 
 
 @order("hold_before", step=int | None)
--- a/src/waxwinghold_standins/engine.py
+++ b/src/waxwinghold_standins/engine.py
@@ -9,6 +9,7 @@
 from ._faults import bad_request, json_answer, read_json
 from ._generation import Generation
 from ._http import HttpStandIn, abort, run_until_ended
+from ._loading import WeightLoader
 from ._orders import OrderDesk
 from ._rank import Rank
 from ._steps import Steps
@@ -32,8 +33,7 @@
 
     Args:
         checks_orders: Whether orders with an old fencing number are refused.
-        load_model_ms: Time to load a model version.
-        load_expert_ms: Time to load one expert.
+        loading: Options of ``WeightLoader``.
         steps: Steps shared with other ranks; by default the engine's own.
         rank_options: Options of ``Rank``.
     """
@@ -42,8 +42,7 @@
         self,
         *,
         checks_orders=True,
-        load_model_ms=0.0,
-        load_expert_ms=0.0,
+        loading=None,
         steps=None,
         clock=None,
         exits_on_crash=False,
@@ -56,11 +55,9 @@
         self.steps = steps or Steps(ranks=[self.rank], clock=self.clock)
         self.desk = OrderDesk(
             rank=self.rank,
-            clock=self.clock,
+            loader=WeightLoader(clock=self.clock, **loading or {}),
             wake=self.steps.wake,
             checks_orders=checks_orders,
-            load_model_ms=load_model_ms,
-            load_expert_ms=load_expert_ms,
         )
 
     async def crash(self):
@@ -199,7 +196,8 @@
         address: ``IP:PORT`` to serve on.
         model_version: The model version at the start.
         adapters: Adapters loaded at the start, separated by commas.
-        options: Options of ``Engine`` and ``Rank``, such as ``--step_ms 20``.
+        options: Options of ``Engine`` and ``Rank``, such as ``--step_ms 20`` or
+            ``--loading '{"load_expert_ms": 5}'``.
             Reports and cache events lag unless told otherwise.
     """
     engine = Engine(
--- a/src/waxwinghold_standins/lock_step.py
+++ b/src/waxwinghold_standins/lock_step.py
@@ -4,12 +4,14 @@
 import contextlib
 
 import fire
+from aiohttp import web
 from fire.decorators import SetParseFns
 
 from waxwinghold import Clock
 from waxwinghold._settings import split_ip_port
 
-from ._http import until_ended
+from ._faults import bad_request
+from ._http import HttpStandIn, until_ended
 from ._maps import NO_MAP
 from ._steps import Steps
 from .engine import Engine
@@ -90,23 +92,61 @@
         )
 
 
-async def _serve(group, host, ports):
-    async with group.serving(host=host, ports=ports) as urls:
-        await until_ended(*urls)
+class GroupControl(HttpStandIn):
+    """Kills and replaces ranks of a group that runs as one process.
 
+    Args:
+        group: The ``LockStepGroup``.
+    """
+
+    def __init__(self, *, group):
+        super().__init__(clock=group.clock)
+        self._group = group
+
+    def routes(self):
+        return [
+            web.post("/ranks/{place}/kill", self._kill),
+            web.post("/ranks/{place}/replace", self._replace),
+        ]
+
+    async def _kill(self, request):
+        await self._group.kill_rank(self._place(request))
+        return web.Response(status=204)
+
+    async def _replace(self, request):
+        await self._group.replace_rank(self._place(request))
+        return web.Response(status=204)
 
-@SetParseFns(addresses=str, model_version=str)
-def serve(*, addresses, model_version="v1", **options):
+    def _place(self, request):
+        place = request.match_info["place"]
+        if place.isdigit() and int(place) < len(self._group.engines):
+            return int(place)
+        raise bad_request(f'rank "{place}" does not exist in the group')
+
+
+async def _serve(group, pairs, control):
+    host, port = control
+    async with GroupControl(group=group).serving(host=host, port=port) as url:
+        ports = [port for _, port in pairs]
+        async with group.serving(host=pairs[0][0], ports=ports) as urls:
+            await until_ended(url, *urls)
+
+
+@SetParseFns(addresses=str, control=str, model_version=str)
+def serve(*, addresses, control, model_version="v1", **options):
     """Serve a lock-step group until SIGTERM.
 
+    Prints one line when it is ready: the control's URL, then each rank's.
+
     Args:
         addresses: ``IP:PORT`` of each rank, separated by commas; one IP number.
+        control: ``IP:PORT`` of the calls that kill and replace ranks.
         model_version: The model version at the start.
         options: Options of ``Engine`` and ``Rank``.
     """
     pairs = [split_ip_port(address) for address in addresses.split(",")]
     group = LockStepGroup(ranks_count=len(pairs), version=model_version, **options)
-    asyncio.run(_serve(group, pairs[0][0], [port for _, port in pairs]))
+    asyncio.run(_serve(group, pairs, split_ip_port(control)))
 
 
 if __name__ == "__main__":
--- a/tests/test_standin_lock_step.py
+++ b/tests/test_standin_lock_step.py
@@ -75,7 +75,7 @@
         self.assertEqual(maps, ["m2", "initial", "initial"])
 
     async def test_a_map_is_switched_to_only_when_it_is_loaded(self):
-        group = await self.group(load_expert_ms=20.0)
+        group = await self.group(loading={"load_expert_ms": 20.0})
         url = group.urls[0]
         await self.order(url, "load_experts", experts=[1, 2], map_id="m2")
         status, answer = await self.order(url, "switch_map", map_id="m2", step=9)
@@ -85,7 +85,7 @@
         status, _ = await self.order(url, "switch_map", map_id="m2", step=10**9)
         self.assertEqual(status, 200)
         await self.order(url, "load_experts", experts=[2, 3], map_id="m3")
-        self.assertEqual(group.engines[0].desk.experts_loaded_count, 3)
+        self.assertEqual(group.engines[0].desk.loader.experts_loaded_count, 3)
 
     async def test_a_replaced_rank_steps_only_once_it_knows_a_map(self):
         group = await self.group()
--- a/tests/test_standin_processes.py
+++ b/tests/test_standin_processes.py
@@ -31,6 +31,11 @@
             await process.communicate()
         return process.returncode
 
+    async def change_rank(self, control, place, change):
+        url = f"{control}/ranks/{place}/{change}"
+        async with self.session.post(url) as response:
+            self.assertEqual(response.status, 204)
+
     async def test_a_version_keeps_its_text_and_the_end_is_clean(self):
         arguments = ("--address", "127.0.0.1:0", "--model-version", "2026.10")
         process, (url,) = await self.process("engine", *arguments)
@@ -47,10 +52,16 @@
         self.assertEqual(await self.returned(process), 70)
 
     async def test_a_group_serves_every_rank(self):
-        addresses = "--addresses=127.0.0.1:0,127.0.0.1:0"
-        process, urls = await self.process("lock_step", addresses)
+        arguments = ("--addresses=127.0.0.1:0,127.0.0.1:0", "--control=127.0.0.1:0")
+        process, (control, *urls) = await self.process("lock_step", *arguments)
         for url in urls:
             _, answer = await self.get(f"{url}/map")
             self.assertEqual(answer["map_id"], "initial")
         self.assertEqual(len(set(urls)), 2)
+        await self.change_rank(control, 1, "kill")
+        with self.assertRaises(aiohttp.ClientConnectorError):
+            await self.get(f"{urls[1]}/map")
+        await self.change_rank(control, 1, "replace")
+        _, answer = await self.get(f"{urls[1]}/map")
+        self.assertEqual(answer["map_id"], "")
         self.assertEqual(await self.end(process), 0)
--- a/tests/test_standin_service.py
+++ b/tests/test_standin_service.py
@@ -6,6 +6,7 @@
 import aiohttp
 
 from tests.standin_client import StandInTestCase, running
+from waxwinghold_standins.engine import Engine
 from waxwinghold_standins.service import PlainService
 from waxwinghold_standins.weights import WeightStore
 
@@ -77,6 +78,22 @@
         self.assertEqual(served["served_bytes"], 300_000)
         self.assertEqual(served["parts"]["m/v1/2"], 1)
 
+    async def test_an_engine_reads_only_experts_that_it_lacks(self):
+        store = WeightStore(rate_bytes_per_s=100_000)
+        await store.start()
+        self.addAsyncCleanup(store.stop)
+        loading = {"weights_url": store.url, "model": "m", "expert_bytes": 5000}
+        engine = Engine(loading=loading)
+        async with engine.serving() as url:
+            for map_id, experts in (("m2", ["1", "2"]), ("m3", ["2", "3"])):
+                order = {"map_id": map_id, "experts": experts}
+                await self.order(url, "load_experts", **order)
+                self.assertNotIn(map_id, engine.rank.maps.loaded)
+                await self.until(lambda: map_id in engine.rank.maps.loaded)
+        expected = {f"m/v1/expert-{number}": 1 for number in (1, 2, 3)}
+        self.assertEqual(store.parts, expected)
+        self.assertEqual(store.served_bytes, 15_000)
+
     async def read(self, store, part):
         url = f"{store.url}/weights/m/v1/{part}?bytes=100000"
         async with self.session.get(url) as response:
