--- /dev/null
+++ b/tests/entry_builder.py
@@ -0,0 +1,81 @@
+"""Starts entries inside a test, with keys and ports of their own."""
+
+import asyncio
+import contextlib
+import socket
+from dataclasses import dataclass, field
+
+import zmq
+
+from waxwinghold._clock import Clock
+from waxwinghold._entry.process import EntryProcess
+from waxwinghold._settings import EntrySettings, KnownKey, Peer
+
+
+def free_port():
+    """Return a port that nothing listens on."""
+    with contextlib.closing(socket.socket()) as item:
+        item.bind(("127.0.0.1", 0))
+        return item.getsockname()[1]
+
+
+def make_keys():
+    """Return a new public and secret CURVE key in Z85."""
+    return tuple(key.decode() for key in zmq.curve_keypair())
+
+
+@dataclass(frozen=True, kw_only=True)
+class Place:
+    """Where one entry runs, also when its process is replaced."""
+
+    name: str
+    data_centre: str
+    link_port: int = field(default_factory=free_port)
+    http_port: int = field(default_factory=free_port)
+    keys: tuple[str, str] = field(default_factory=make_keys)
+
+    @property
+    def address(self):
+        """The link address."""
+        return f"tcp://127.0.0.1:{self.link_port}"
+
+
+def start_entry(test, place, platform_url, *, others=(), known_keys=(), **changes):
+    """Start an entry in ``place`` that ends with the test; return it and its task."""
+    peers = tuple(
+        Peer(
+            name=other.name,
+            data_centre=other.data_centre,
+            address=other.address,
+            public_key=other.keys[0],
+        )
+        for other in others
+        if other is not place
+    )
+    known_keys += tuple(
+        KnownKey(name=peer.name, role="entry", public_key=peer.public_key)
+        for peer in peers
+    )
+    settings = EntrySettings(
+        name=place.name,
+        data_centre=place.data_centre,
+        link_address=place.address,
+        link_public_key=place.keys[0],
+        link_secret_key=place.keys[1],
+        platform_url=platform_url,
+        token_secrets=("x" * 32,),
+        known_keys=known_keys,
+        peers=peers,
+        http_address=f"127.0.0.1:{place.http_port}",
+        **changes,
+    )
+    process = EntryProcess(clock=Clock(), settings=settings)
+    task = asyncio.create_task(process.run())
+    test.addAsyncCleanup(stop_entry, task)
+    return process, task
+
+
+async def stop_entry(task):
+    """End an entry at once."""
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
--- a/tests/test_sheet_checking.py
+++ b/tests/test_sheet_checking.py
@@ -24,213 +24,92 @@
 SHOP, TOUR = SHEET.customers
 
 
-def with_services(*rows):
-    return replace(SHEET, services=rows)
+def with_row(table, row, **changes):
+    """Return the sound sheet with one row of ``table`` changed."""
+    rows = getattr(SHEET, table)
+    changed = tuple(replace(one, **changes) if one is row else one for one in rows)
+    return replace(SHEET, **{table: changed})
 
 
-def with_targets(*rows):
-    return replace(SHEET, targets=rows)
+def fitting(**changes):
+    return with_row("services", FITTING, **changes)
 
 
-def with_customer(**changes):
-    return replace(SHEET, customers=(replace(SHOP, **changes), TOUR))
+def booking(**changes):
+    return with_row("services", BOOKING, **changes)
+
+
+def target(row, **changes):
+    return with_row("targets", row, **changes)
+
+
+def shop(**changes):
+    return with_row("customers", SHOP, **changes)
+
+
+def without(*rows):
+    return replace(SHEET, targets=tuple(t for t in SHEET.targets if t not in rows))
+
+
+def shares(version, share_percent):
+    return (VersionShare(version=version, share_percent=share_percent),)
 
 
-HALF = (VersionShare(version="v1", share_percent=50),)
 CALL = FITTING.calls[0]
+NO_TIME = (replace(CALL, deadline_ms=0),)
 
-# What is broken: the sheet, then the table, row and reason that must be named.
+# What must be named (table, row and part of the reason), and the broken sheet.
 BROKEN = {
-    "version 0": (replace(SHEET, version=0), "(sheet)", "0", "version must"),
-    "huge version": (
-        replace(SHEET, version=2**64),
-        "(sheet)",
-        str(2**64),
-        "version must",
-    ),
-    "same name": (
-        replace(SHEET, customers=(SHOP, replace(TOUR, name=SHOP.name))),
-        "customers",
-        "lautoka-sports",
-        "occurs twice",
-    ),
-    "odd name": (
-        with_customer(name="a b"),
-        "customers",
-        "a b",
-        "letters",
-    ),
-    "shares": (
-        with_services(replace(FITTING, versions=HALF), BOOKING),
-        "services",
-        "fitting",
-        "add up to 50",
-    ),
-    "no model": (
-        with_services(replace(FITTING, model="none"), BOOKING),
-        "services",
-        "fitting",
-        'model "none" does not exist',
-    ),
-    "no model version": (
-        with_services(
-            replace(FITTING, versions=(VersionShare(version="v9", share_percent=100),)),
-            BOOKING,
-        ),
-        "services",
-        "fitting",
-        'version "v9" of model "sizer" does not exist',
-    ),
-    "plain with model": (
-        with_services(FITTING, replace(BOOKING, model="sizer")),
-        "services",
-        "booking",
-        "is plain",
-    ),
-    "plain streams": (
-        with_services(FITTING, replace(BOOKING, calls=(replace(CALL, streamed=True),))),
-        "services",
-        "booking",
-        "cannot be streamed",
-    ),
-    "no calls": (
-        with_services(replace(FITTING, calls=()), BOOKING),
-        "services",
-        "fitting",
-        "has no calls",
-    ),
-    "endless deadline": (
-        with_services(replace(FITTING, calls=(replace(CALL, deadline_ms=0),)), BOOKING),
-        "services",
-        "fitting",
-        'column "deadline_ms": must be above 0',
-    ),
-    "share without target": (
-        with_targets(FIRST, SECOND),
-        "services",
-        "booking",
-        "has a share but no target",
-    ),
-    "rank missing": (
-        with_targets(FIRST, DESK),
-        "groups",
-        "fitting-a",
-        "rank 1 is held by 0",
-    ),
-    "rank twice": (
-        with_targets(FIRST, replace(SECOND, ranks=(0, 1)), DESK),
-        "groups",
-        "fitting-a",
-        "rank 0 is held by 2",
-    ),
-    "rank outside": (
-        with_targets(FIRST, replace(SECOND, ranks=(1, 7)), DESK),
-        "targets",
-        "fitting-1",
-        "rank 7 is outside",
-    ),
-    "endless ranks": (
-        replace(SHEET, groups=(replace(GROUP, ranks_count=2**52),)),
-        "groups",
-        "fitting-a",
-        'column "ranks_count"',
-    ),
-    "mixed versions": (
-        with_targets(FIRST, replace(SECOND, version="v2", adapters=()), DESK),
-        "groups",
-        "fitting-a",
-        "different versions: v1, v2",
-    ),
-    "dense group": (
-        replace(SHEET, models=(replace(MODEL, experts_count=0),)),
-        "groups",
-        "fitting-a",
-        "no model with experts",
-    ),
-    "unknown service": (
-        with_targets(FIRST, SECOND, replace(DESK, service="none")),
-        "targets",
-        "booking-1",
-        'service "none" does not exist',
-    ),
-    "unknown version": (
-        with_targets(FIRST, SECOND, replace(DESK, version="r2")),
-        "targets",
-        "booking-1",
-        'version "r2" of service "booking" does not exist',
-    ),
-    "unknown group": (
-        with_targets(FIRST, replace(SECOND, group="none"), DESK),
-        "targets",
-        "fitting-1",
-        'group "none" does not exist',
-    ),
-    "unknown adapter": (
-        with_targets(replace(FIRST, adapters=("x",)), SECOND, DESK),
-        "targets",
-        "fitting-0",
-        'adapter "x"',
-    ),
-    "name as address": (
-        with_targets(replace(FIRST, agent_address="tcp://host:1"), SECOND, DESK),
-        "targets",
-        "fitting-0",
-        "is not tcp://IP:PORT",
-    ),
-    "address twice": (
-        with_targets(FIRST, replace(SECOND, agent_address=FIRST.agent_address), DESK),
-        "targets",
-        "fitting-1",
-        'is that of "fitting-0" too',
-    ),
-    "short key": (
-        with_targets(replace(FIRST, agent_public_key="abc"), SECOND, DESK),
-        "targets",
-        "fitting-0",
-        "40 characters of Z85",
-    ),
-    "share 0": (
-        with_customer(share=0.0),
-        "customers",
-        "lautoka-sports",
-        'column "share": must be above 0',
-    ),
-    "endless share": (
-        with_customer(share=float("inf")),
-        "customers",
-        "lautoka-sports",
-        'column "share": the number is too large',
-    ),
-    "token": (
-        with_customer(token_sha256="secret"),
-        "customers",
-        "lautoka-sports",
-        "64 lower-case",
-    ),
-    "token twice": (
-        with_customer(token_sha256=TOUR.token_sha256),
-        "customers",
-        "tour-desk",
-        'is that of "lautoka-sports" too',
-    ),
-    "customer's service": (
-        with_customer(services=("none",)),
-        "customers",
-        "lautoka-sports",
-        'service "none" does not exist',
-    ),
-    "customer's version": (
-        with_customer(versions={"fitting": "v2"}),
-        "customers",
-        "lautoka-sports",
-        'version "v2" of service "fitting" has no target',
-    ),
-    "version not allowed": (
-        with_customer(versions={"booking": "r1"}),
-        "customers",
-        "lautoka-sports",
-        "which it may not use",
-    ),
+    "(sheet) 0: version must": replace(SHEET, version=0),
+    f"(sheet) {2**64}: version must": replace(SHEET, version=2**64),
+    "customers tour-desk: the name occurs twice": shop(name=TOUR.name),
+    "customers a/b: letters": shop(name="a/b"),
+    "services fitting: add up to 50": fitting(versions=shares("v1", 50)),
+    'services fitting: model "none" does not exist': fitting(model="none"),
+    'services fitting: version "v9" of model "sizer" does not exist': fitting(
+        versions=shares("v9", 100)
+    ),
+    "services booking: is plain": booking(model="sizer"),
+    "services booking: cannot be streamed": booking(calls=(CALL,)),
+    "services fitting: has no calls": fitting(calls=()),
+    'services fitting: "deadline_ms": must be above 0': fitting(calls=NO_TIME),
+    "services booking: has a share but no target": without(DESK),
+    "groups fitting-a: rank 1 is held by 0": without(SECOND),
+    "groups fitting-a: rank 0 is held by 2": target(SECOND, ranks=(0, 1)),
+    "targets fitting-1: rank 7 is outside": target(SECOND, ranks=(1, 7)),
+    'groups fitting-a: "ranks_count"': with_row("groups", GROUP, ranks_count=2**52),
+    "groups fitting-a: different versions: v1, v2": target(
+        SECOND, version="v2", adapters=()
+    ),
+    "groups fitting-a: no model with experts": with_row(
+        "models", MODEL, experts_count=0
+    ),
+    'targets booking-1: service "none" does not exist': target(DESK, service="none"),
+    'targets booking-1: version "r2" of service "booking" does not exist': target(
+        DESK, version="r2"
+    ),
+    'targets fitting-1: group "none" does not exist': target(SECOND, group="none"),
+    'targets fitting-0: adapter "x"': target(FIRST, adapters=("x",)),
+    "targets fitting-0: is not tcp://IP:PORT": target(
+        FIRST, agent_address="tcp://host:1"
+    ),
+    'targets fitting-1: is that of "fitting-0" too': target(
+        SECOND, agent_address=FIRST.agent_address
+    ),
+    "targets fitting-0: 40 characters of Z85": target(FIRST, agent_public_key="abc"),
+    'customers lautoka-sports: "share": must be above 0': shop(share=0.0),
+    'customers lautoka-sports: "share": the number is too large': shop(
+        share=float("inf")
+    ),
+    "customers lautoka-sports: 64 lower-case": shop(token_sha256="secret"),
+    'customers tour-desk: is that of "lautoka-sports" too': shop(
+        token_sha256=TOUR.token_sha256
+    ),
+    'customers lautoka-sports: service "none" does not exist': shop(services=("none",)),
+    'customers lautoka-sports: version "v2" of service "fitting" has no target': shop(
+        versions={"fitting": "v2"}
+    ),
+    "customers lautoka-sports: which it may not use": shop(versions={"booking": "r1"}),
 }
 
 
@@ -240,15 +119,21 @@
         check_sheet(SHEET)
 
     def test_each_broken_sheet_is_refused_with_row_and_reason(self):
-        for name, (sheet, table, row, reason) in BROKEN.items():
+        for named, sheet in BROKEN.items():
+            place, _, reason = named.partition(": ")
             found = [
                 error.reason
                 for error in problems(sheet)
-                if (error.table, error.row) == (table, row)
+                if f"{error.table} {error.row}" == place
             ]
-            self.assertIn(reason, " ".join(found), name)
+            self.assertIn(reason, " ".join(found))
             self.assertRaises(SheetError, check_sheet, sheet)
 
+    def test_rows_that_passed_are_looked_at_again_for_what_they_refer_to(self):
+        self.assertTrue(problems(without(DESK), valid=SHEET))
+        self.assertTrue(problems(shop(share=0.0), valid=SHEET))
+        self.assertEqual(problems(shop(share=2.0), valid=SHEET), ())
+
 
 class ReadingTests(unittest.TestCase):
     def test_what_is_written_is_read_again(self):
--- a/tests/test_sheet_watching.py
+++ b/tests/test_sheet_watching.py
@@ -1,188 +1,118 @@
 """The platform is read through outages, staleness and silence."""
 
 import asyncio
-import contextlib
 import unittest
 
-import aiohttp
-from aiohttp import web
-
 from waxwinghold._clock import Clock
 from waxwinghold._sheet import HostState, HostsWatch, PlatformWatch, write_sheet
 from waxwinghold._sheet.platform import BACKOFF_MAX_MS, READ_LIMIT_BYTES, Backoff
+from waxwinghold_standins.platform import Platform
 
 from .sheet_builder import make_sheet, make_store
+from .standin_client import StandInTestCase
 
-TEST_LIMIT_S = 10
-
-
-class Platform:
-    """Answers reads of the sheet as a test says, and counts them."""
-
-    def __init__(self):
-        self.sheet = make_sheet(1)
-        self.fail = None
-        self.waiting_count = 0
-        self.waiting_max_count = 0
-        self.reads_count = 0
-        self.sent_count = 0
-        self.changed = asyncio.Event()
 
-    def publish(self, sheet):
-        """Show ``sheet`` from now on and wake the reads that wait."""
-        self.sheet = sheet
-        self.changed.set()
-        self.changed = asyncio.Event()
-
-    async def answer(self, request):
-        """Serve ``GET /sheet``."""
-        self.reads_count += 1
-        self.waiting_count += 1
-        self.waiting_max_count = max(self.waiting_max_count, self.waiting_count)
-        try:
-            if self.fail is not None:
-                return await self.fail()
-            return await self._wait(request)
-        finally:
-            self.waiting_count -= 1
-
-    async def _wait(self, request):
-        if int(request.query["after"]) == self.sheet.version:
-            wait_s = int(request.query["wait_ms"]) / 1000
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(self.changed.wait(), wait_s)
-        if int(request.query["after"]) == self.sheet.version:
-            return web.Response(status=204)
-        self.sent_count += 1
-        return web.Response(body=write_sheet(self.sheet))
-
-
-class WatchTests(unittest.IsolatedAsyncioTestCase):
+class WatchTests(StandInTestCase):
     async def asyncSetUp(self):
-        self.platform = Platform()
-        self.ended = asyncio.Event()
-        app = web.Application()
-        app.router.add_get("/sheet", self.platform.answer)
-        app.router.add_get("/hosts", self.answer_hosts)
-        runner = web.AppRunner(app, shutdown_timeout=0, handler_cancellation=True)
-        await runner.setup()
-        self.addAsyncCleanup(runner.cleanup)
-        site = web.TCPSite(runner, "127.0.0.1", 0)
-        await site.start()
-        port = runner.addresses[0][1]
-        self.url = f"http://127.0.0.1:{port}"
-        self.session = aiohttp.ClientSession()
-        self.addAsyncCleanup(self.session.close)
+        await super().asyncSetUp()
+        host = {"name": "entry-1", "role": "entry", "data_centre": "nadi"}
+        host |= {"address": "tcp://127.0.0.1:1", "public_key": "k", "state": "leaving"}
+        self.platform = Platform(sheet=write_sheet(make_sheet(1)), hosts=[host])
+        await self.platform.start()
+        self.addAsyncCleanup(self.platform.stop)
         self.store, self.audit = make_store(Clock())
 
-    async def answer_hosts(self, request):
-        row = {"name": "entry-1", "role": "entry", "data_centre": "nadi"}
-        row |= {"address": "tcp://127.0.0.1:1", "public_key": "k", "state": "leaving"}
-        return web.json_response({"hosts": [row]})
+    def publish(self, sheet):
+        self.platform.publish(write_sheet(sheet))
 
-    def start(self, wait_ms=200, **options):
-        watch = PlatformWatch(
-            clock=Clock(),
-            store=self.store,
-            url=self.url,
-            wait_ms=wait_ms,
-            session=self.session,
-            **options,
-        )
+    def run_watch(self, watch):
         task = asyncio.create_task(watch.run())
-        self.addAsyncCleanup(self.stop, task)
+        self.addAsyncCleanup(asyncio.gather, task, return_exceptions=True)
+        self.addCleanup(task.cancel)
         return watch
 
-    async def stop(self, task):
-        self.ended.set()
-        task.cancel()
-        await asyncio.gather(task, return_exceptions=True)
-
-    async def until(self, condition):
-        async with asyncio.timeout(TEST_LIMIT_S):
-            while not condition():
-                await asyncio.sleep(0.01)
+    def start(self, wait_ms=200, **options):
+        return self.run_watch(
+            PlatformWatch(
+                clock=Clock(),
+                store=self.store,
+                url=self.platform.url,
+                wait_ms=wait_ms,
+                session=self.session,
+                **options,
+            )
+        )
 
     async def test_a_change_is_read_at_once_by_one_read_at_a_time(self):
         self.start(wait_ms=5000)
         await self.until(lambda: self.store.version == 1)
         for version in (2, 3):
             await self.until(lambda: self.platform.waiting_count)
-            self.platform.publish(make_sheet(version))
+            self.publish(make_sheet(version))
             await self.until(lambda: self.store.version == version)
-        self.assertEqual(self.platform.waiting_max_count, 1)
-        self.assertLessEqual(self.platform.reads_count, 4)
+            self.assertLessEqual(self.platform.waiting_count, 1)
+        self.assertLessEqual(self.platform.reads.total_count, 4)
 
     async def test_a_stale_platform_is_neither_believed_nor_hammered(self):
         self.store.offer(make_sheet(9), "peer")
         self.start(wait_ms=300)
         await asyncio.sleep(1)
         self.assertEqual(self.store.version, 9)
-        self.assertLessEqual(self.platform.reads_count, 8)
+        self.assertLessEqual(self.platform.reads.total_count, 8)
 
     async def test_an_invalid_sheet_is_audited_and_a_mended_one_taken(self):
-        self.platform.publish(make_sheet(2, targets=()))
+        self.publish(make_sheet(2, targets=()))
         self.start()
         await self.until(lambda: len(self.audit) == 1)
-        self.platform.publish(make_sheet(2))
+        self.publish(make_sheet(2))
         await self.until(lambda: self.store.version == 2)
-        self.assertLessEqual(self.platform.reads_count, 8)
+        self.assertLessEqual(self.platform.reads.total_count, 8)
 
-    async def check_recovery(self, fail):
-        self.platform.fail = fail
+    async def test_an_outage_is_waited_out(self):
+        self.platform.set_faults(outage=True)
         watch = self.start()
-        await self.until(lambda: watch.failures_count >= 2)
-        self.assertIsNone(self.store.current)
-        self.platform.fail = None
+        await self.until(lambda: watch.failures_count >= 3)
+        self.platform.set_faults(outage=False)
         await self.until(lambda: self.store.version == 1)
 
-    async def test_an_outage_is_waited_out(self):
-        async def unavailable():
-            return web.Response(status=503)
-
-        await self.check_recovery(unavailable)
-
     async def test_a_connection_that_goes_silent_is_given_up(self):
-        async def silent():
-            await self.ended.wait()
-            return web.Response(status=503)
-
-        await self.check_recovery(silent)
-
-    async def test_a_sheet_above_the_limit_is_not_read_to_its_end(self):
-        async def endless():
-            return web.Response(body=b" " * (READ_LIMIT_BYTES + 1))
-
-        await self.check_recovery(endless)
-
-    async def test_junk_is_refused(self):
-        async def junk():
-            return web.Response(body=b'{"version": "x"}')
+        watch = self.start(wait_ms=1000)
+        await self.until(lambda: self.platform.waiting_count)
+        self.platform.silence()
+        self.publish(make_sheet(2))
+        await self.until(lambda: self.store.version == 2)
+        self.assertEqual(watch.failures_count, 1)
 
-        await self.check_recovery(junk)
-        self.assertIn("unreadable sheet", self.audit.since(0)[0].subject)
+    async def test_what_is_no_sheet_or_too_large_is_refused(self):
+        watch = self.start()
+        await self.until(lambda: self.store.version == 1)
+        for number, document in enumerate(
+            (b'{"version": "x"}', b" " * (READ_LIMIT_BYTES + 1)), start=1
+        ):
+            self.platform.publish(document, version=number + 1)
+            await self.until(lambda: watch.failures_count >= number)
+        self.publish(make_sheet(9))
+        await self.until(lambda: self.store.version == 9)
+        self.assertIn("unreadable sheet", self.audit.since(0)[1].subject)
 
     async def test_a_process_that_may_not_read_does_not(self):
         self.start(may_read=lambda: False)
         await asyncio.sleep(0.3)
-        self.assertEqual(self.platform.reads_count, 0)
+        self.assertEqual(self.platform.reads.total_count, 0)
 
     async def test_a_process_that_becomes_a_reader_reads_only_what_is_new(self):
         self.store.offer(make_sheet(1), "peer")
-        self.start(wait_ms=300)
-        await self.until(lambda: self.platform.reads_count >= 2)
-        self.assertEqual(self.platform.sent_count, 0)
-        self.platform.publish(make_sheet(2))
-        await self.until(lambda: self.store.version == 2)
+        self.start(wait_ms=5000)
+        await self.until(lambda: self.platform.waiting_count)
+        self.assertEqual(self.platform.reads.total_count, 1)
 
     async def test_the_host_list_is_read_and_reported_at_a_change(self):
         heard = []
         watch = HostsWatch(
-            clock=Clock(), url=self.url, session=self.session, interval_ms=20
+            clock=Clock(), url=self.platform.url, session=self.session, interval_ms=20
         )
         watch.listen(heard.append)
-        task = asyncio.create_task(watch.run())
-        self.addAsyncCleanup(self.stop, task)
+        self.run_watch(watch)
         await self.until(lambda: heard)
         await asyncio.sleep(0.1)
         self.assertEqual(len(heard), 1)
--- a/tests/test_tool_fleet.py
+++ b/tests/test_tool_fleet.py
@@ -1,15 +1,9 @@
 """The tool asks and drains a running process over a link."""
 
 import asyncio
-import contextlib
-import socket
 import unittest
 
-import zmq
-
-from waxwinghold._clock import Clock
-from waxwinghold._entry.process import EntryProcess
-from waxwinghold._settings import EntrySettings, KnownKey
+from waxwinghold._settings import KnownKey
 from waxwinghold._tool.asking import UnreachableError
 from waxwinghold._tool.fleet import (
     UnknownProcessError,
@@ -19,49 +13,26 @@
 )
 from waxwinghold._tool.settings import KnownProcess, OperatorSettings
 
+from .entry_builder import Place, free_port, make_keys, start_entry
 from .sheet_builder import make_sheet
 
 TEST_LIMIT_S = 10
 
 
-def free_ports(count):
-    """Return ports that nothing listens on."""
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for item in sockets:
-            item.bind(("127.0.0.1", 0))
-        return [item.getsockname()[1] for item in sockets]
-
-
 class FleetTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self):
-        link_port, http_port, self.dead_port = free_ports(3)
-        public, secret = (key.decode() for key in zmq.curve_keypair())
-        self.operator_keys = tuple(key.decode() for key in zmq.curve_keypair())
+        self.operator_keys = make_keys()
         operator = KnownKey(
             name="mere", role="operator", public_key=self.operator_keys[0]
         )
-        settings = EntrySettings(
-            name="entry-1",
-            data_centre="nadi",
-            link_address=f"tcp://127.0.0.1:{link_port}",
-            link_public_key=public,
-            link_secret_key=secret,
-            platform_url=f"http://127.0.0.1:{self.dead_port}",
-            token_secrets=("x" * 32,),
-            known_keys=(operator,),
-            http_address=f"127.0.0.1:{http_port}",
-        )
+        place = Place(name="entry-1", data_centre="nadi")
+        self.dead_port = free_port()
         self.known = KnownProcess(
-            name="entry-1", address=settings.link_address, public_key=public
+            name=place.name, address=place.address, public_key=place.keys[0]
+        )
+        self.process, self.task = start_entry(
+            self, place, f"http://127.0.0.1:{self.dead_port}", known_keys=(operator,)
         )
-        self.process = EntryProcess(clock=Clock(), settings=settings)
-        self.task = asyncio.create_task(self.process.run())
-        self.addAsyncCleanup(self.stop)
-
-    async def stop(self):
-        self.task.cancel()
-        await asyncio.gather(self.task, return_exceptions=True)
 
     def operator(self, *processes, keys=None, limit_ms=3000):
         public, secret = keys or self.operator_keys
@@ -105,8 +76,7 @@
         self.assertEqual(len(report.data["processes"]), 1)
 
     async def test_an_unknown_key_gets_nothing(self):
-        keys = tuple(key.decode() for key in zmq.curve_keypair())
-        settings = self.operator(keys=keys, limit_ms=800)
+        settings = self.operator(keys=make_keys(), limit_ms=800)
         with self.assertRaises(UnreachableError):
             await drain_report(settings, process="entry-1", reason="mischief")
         self.assertFalse(self.process.leaving)
