--- /dev/null
+++ b/tests/support/caller.py
@@ -0,0 +1,195 @@
+"""A caller of the fleet, as a shop counter would be one."""
+
+import asyncio
+import json
+from dataclasses import dataclass
+
+import aiohttp
+
+from waxwinghold._clock import Clock
+
+CALLER_LIMIT_S = 15.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """What a caller saw of one request.
+
+    Args:
+        status: The HTTP status; 0 where the connection gave none.
+        whole: Whether the transfer came to its proper end.
+        events: Events of a streamed answer.
+        ended: Whether a stream said that it was whole.
+    """
+
+    status: int
+    whole: bool
+    elapsed_ms: float
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    events: tuple[str, ...] = ()
+    ended: bool = False
+    error: str = ""
+
+    def header(self, name):
+        """Return a header, or an empty text."""
+        return dict(self.headers).get(name, "")
+
+    @property
+    def ok(self):
+        """Whether the caller holds an answer that looks whole."""
+        streamed = self.header("Content-Type").startswith("text/event-stream")
+        return self.status == 200 and self.whole and (self.ended or not streamed)
+
+    @property
+    def ran(self):
+        """The verdict on whether the request ran, or an empty text."""
+        return self.header("Waxwing-Ran") or self._error().get("ran", "")
+
+    @property
+    def code(self):
+        """The error code of a refusal, or an empty text."""
+        return self.header("Waxwing-Error") or self._error().get("code", "")
+
+    def _error(self):
+        return json.loads(self.error)["error"] if self.error else {}
+
+
+class Caller:
+    """Sends requests to entries.
+
+    Args:
+        url_of: Returns an entry's URL by the entry's name.
+        customer: Who calls; ``token`` proves it.
+    """
+
+    def __init__(self, *, url_of, customer="suva", token="suva-token"):
+        self._url_of = url_of
+        self._headers = {
+            "Waxwing-Customer": customer,
+            "Authorization": f"Bearer {token}",
+        }
+        self._clock = Clock()
+        # A kept-alive connection to a killed entry would hide its death.
+        self._session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True, limit=0),
+            timeout=aiohttp.ClientTimeout(total=CALLER_LIMIT_S),
+        )
+
+    async def close(self):
+        """Close every connection."""
+        await self._session.close()
+
+    async def key(self, entry, *, service="booking"):
+        """Return a fresh once-only key, or ``None`` where none was issued."""
+        outcome = await self.send(entry, "POST", f"/v1/services/{service}/keys")
+        return json.loads(outcome.body)["key"] if outcome.status == 200 else None
+
+    async def call(self, entry, call, body, *, service="booking", **headers):
+        """Send one call; ``headers`` are ``key`` and ``deadline_ms``."""
+        path = f"/v1/services/{service}/calls/{call}"
+        return await self.send(
+            entry, "POST", path, body=body, headers=_call_headers(**headers)
+        )
+
+    async def resume(self, entry, token, *, offset=0):
+        """Ask for a streamed answer again."""
+        path = f"/v1/requests/{token}/stream?offset={offset}"
+        return await self.send(entry, "GET", path, offset=offset)
+
+    async def send(
+        self, entry, method, path, *, body=b"", headers=None, seen=None, offset=0
+    ):
+        """Send one HTTP request and return its ``Outcome``.
+
+        Args:
+            offset: The place of the first event of a stream.
+            seen: Called with the events so far at each event of a stream.
+        """
+        begun_ms = self._clock.now_ms()
+        reading = _Reading(seen=seen, offset=offset)
+        try:
+            async with self._session.request(
+                method,
+                self._url_of(entry) + path,
+                data=body or None,
+                headers=self._headers | (headers or {}),
+            ) as response:
+                await reading.read(response)
+        except (aiohttp.ClientError, OSError, asyncio.TimeoutError):
+            reading.whole = False
+        return reading.outcome(elapsed_ms=self._clock.now_ms() - begun_ms)
+
+    async def stream(self, entry, prompt, tokens_count, *, seen=None, **headers):
+        """Send one streamed call of service ``fitting``."""
+        body = json.dumps({"prompt": prompt, "max_tokens": tokens_count}).encode()
+        path = "/v1/services/fitting/calls/advice"
+        return await self.send(
+            entry,
+            "POST",
+            path,
+            body=body,
+            headers=_call_headers(**headers),
+            seen=seen,
+        )
+
+
+class _Reading:
+    """An answer as it comes in."""
+
+    def __init__(self, *, seen, offset):
+        self._seen = seen
+        self._offset = offset
+        self._response = None
+        self._events = []
+        self._ended = False
+        self._error = ""
+        self._body = b""
+        self.whole = True
+
+    async def read(self, response):
+        self._response = response
+        if response.content_type != "text/event-stream":
+            self._body = await response.read()
+            return
+        kind = ""
+        async for line in response.content:
+            name, _, value = line.decode().rstrip("\n").partition(": ")
+            if name == "event":
+                kind = value
+            elif name == "data":
+                self._take(kind, value)
+                kind = ""
+
+    def _take(self, kind, value):
+        if kind == "end":
+            length = self._offset + len(self._events)
+            self._ended = json.loads(value)["length"] == length
+        elif kind == "error":
+            self._error = value
+        elif kind == "":
+            self._events.append(json.loads(value))
+            if self._seen is not None:
+                self._seen(self._events, self._response)
+
+    def outcome(self, *, elapsed_ms):
+        response = self._response
+        return Outcome(
+            status=response.status if response is not None else 0,
+            whole=self.whole,
+            elapsed_ms=elapsed_ms,
+            body=self._body,
+            headers=tuple(response.headers.items()) if response is not None else (),
+            events=tuple(self._events),
+            ended=self._ended,
+            error=self._error,
+        )
+
+
+def _call_headers(*, key=None, deadline_ms=None):
+    headers = {}
+    if key is not None:
+        headers["Idempotency-Key"] = key
+    if deadline_ms is not None:
+        headers["Waxwing-Deadline-Ms"] = str(deadline_ms)
+    return headers
--- /dev/null
+++ b/tests/support/published.py
@@ -0,0 +1,113 @@
+"""The sheet and the keys of a test fleet."""
+
+import hashlib
+import random
+import socket
+
+import zmq
+
+TOKEN_SECRET = "s" * 32
+
+
+# Below the range from which the host takes ports for outgoing connections: a
+# port there is not taken between being found free and being used.
+PORTS = range(12_000, 30_000)
+_given_ports = set()
+
+
+def free_port():
+    """Return a port of the loopback that is free and was not returned before."""
+    while True:
+        port = random.choice(PORTS)
+        if port in _given_ports:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        _given_ports.add(port)
+        return port
+
+
+def key_pair():
+    """Return a CURVE key pair, public and secret, in Z85."""
+    return tuple(key.decode() for key in zmq.curve_keypair())
+
+
+ENTRY_KEYS = key_pair()
+AGENT_KEYS = key_pair()
+OPERATOR_KEYS = key_pair()
+
+KNOWN_KEYS = (
+    {"name": "entries", "role": "entry", "public_key": ENTRY_KEYS[0]},
+    {"name": "agents", "role": "agent", "public_key": AGENT_KEYS[0]},
+    {"name": "operators", "role": "operator", "public_key": OPERATOR_KEYS[0]},
+)
+
+
+def make_document(*, version, targets, deadline_ms):
+    """Return a sheet as plain types.
+
+    Args:
+        targets: Dicts with ``name``, ``data_centre``, ``agent_port``.
+        deadline_ms: The deadline of every call.
+    """
+    names = {target["name"].partition("-")[0] for target in targets}
+    services = [_fitting(deadline_ms), _booking(deadline_ms)]
+    models = [{"name": "sizer", "versions": [{"version": "v1", "weights_bytes": 1000}]}]
+    return {
+        "version": version,
+        "issued_by": "planner",
+        "services": [service for service in services if service["name"] in names],
+        "models": models if "fitting" in names else [],
+        "groups": [],
+        "targets": [_target(target) for target in targets],
+        "customers": [_customer(name, names) for name in ("suva", "tour-desk")],
+    }
+
+
+def _fitting(deadline_ms):
+    calls = [
+        {"name": "question", "repeat": "idempotent", "deadline_ms": deadline_ms},
+        {
+            "name": "advice",
+            "repeat": "idempotent",
+            "streamed": True,
+            "deadline_ms": deadline_ms,
+        },
+    ]
+    versions = [{"version": "v1", "share_percent": 100}]
+    return {
+        "name": "fitting",
+        "kind": "model",
+        "model": "sizer",
+        "versions": versions,
+        "calls": calls,
+    }
+
+
+def _booking(deadline_ms):
+    calls = [
+        {"name": "hold", "repeat": "once", "deadline_ms": deadline_ms},
+        {"name": "stock", "repeat": "idempotent", "deadline_ms": deadline_ms},
+        {"name": "note", "repeat": "single", "deadline_ms": deadline_ms},
+    ]
+    versions = [{"version": "v1", "share_percent": 100}]
+    return {"name": "booking", "kind": "plain", "versions": versions, "calls": calls}
+
+
+def _target(target):
+    return {
+        "name": target["name"],
+        "service": target["name"].partition("-")[0],
+        "data_centre": target["data_centre"],
+        "version": "v1",
+        "agent_address": f"tcp://127.0.0.1:{target['agent_port']}",
+        "agent_public_key": AGENT_KEYS[0],
+    }
+
+
+def _customer(name, services):
+    token = hashlib.sha256(f"{name}-token".encode()).hexdigest()
+    return {"name": name, "token_sha256": token, "services": sorted(services)}
--- /dev/null
+++ b/tests/support/scene.py
@@ -0,0 +1,298 @@
+"""One request of one kind, brought to a step of its way and let go again."""
+
+import asyncio
+import json
+from dataclasses import dataclass, replace
+
+from waxwinghold._keys import OnceKey
+from waxwinghold._messages import Answer, Chunk, End, Submit
+from waxwinghold_standins.engine import token_text
+
+from .fleet import until
+from .taps import Held
+
+STEP_LIMIT_S = 5.0
+TOKENS_COUNT = 40
+TOKENS_BEFORE_FAULT_COUNT = 3
+HELD_LIMIT_COUNT = 1000
+# Lets what is on its way inside the event loop arrive.
+SETTLE_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class Kind:
+    """A kind of call.
+
+    Args:
+        call: The call's name in the sheet.
+        service: Its service, which names the targets too.
+        resent: Whether a caller that lost its entry sends it again.
+    """
+
+    name: str
+    call: str
+    service: str = "booking"
+    resent: bool = True
+
+    @property
+    def streamed(self):
+        """Whether the answer comes in events."""
+        return self.service == "fitting"
+
+    @property
+    def repeatable(self):
+        """Whether it may run more than once."""
+        return self.name in ("idempotent", "streamed")
+
+
+KINDS = {
+    kind.name: kind
+    for kind in (
+        Kind(name="idempotent", call="stock"),
+        Kind(name="once", call="hold"),
+        Kind(name="single", call="note", resent=False),
+        Kind(name="streamed", call="advice", service="fitting"),
+    )
+}
+
+
+class Scene:
+    """A request, its caller and the processes that serve it.
+
+    Args:
+        fleet: The fleet; its ``entry-a`` gets the request first.
+        kind: The ``Kind``.
+        text: Body or prompt; no other request has it.
+    """
+
+    entry = "entry-a"
+    other_entry = "entry-b"
+
+    def __init__(self, *, fleet, kind, text):
+        self.fleet = fleet
+        self.kind = kind
+        self.text = text
+        self.caller = fleet.caller()
+        self.outcomes = []
+        self.held = None
+        self.kept_stalled = False
+        self.begun = asyncio.Event()
+        self._key = None
+        self._key_target = None
+        self._task = None
+        self._effects_before = self._effects()
+        self._undo = []
+
+    @property
+    def target(self):
+        """The name of the target that has the request, or would get it."""
+        if self._key_target is not None:
+            return self._key_target
+        seats = self.fleet.entries[self.entry].process.fleet.seats
+        for name, seat in seats.items():
+            if seat.in_flight:
+                return name
+        return f"{self.kind.service}-a"
+
+    @property
+    def agent(self):
+        """The agent of that target."""
+        return self.fleet.agents[self.target]
+
+    @property
+    def effects_count(self):
+        """How often the request has run."""
+        return self._effects() - self._effects_before
+
+    async def prepare(self):
+        """Obtain a key where the call needs one."""
+        if self.kind.name != "once":
+            return
+        self._key = await self.caller.key(self.entry)
+        mint = self.fleet.entries[self.entry].process.mint
+        self._key_target = mint.read(self._key, OnceKey).target
+
+    def start(self):
+        """Let the caller send its request."""
+        if self._task is None:
+            self._task = asyncio.create_task(self._send(self.entry))
+
+    async def finish(self):
+        """Return the caller's last outcome, re-sends included."""
+        self.start()
+        outcome = await self._task
+        self.outcomes.append(outcome)
+        if outcome.ok or not self.kind.resent:
+            return outcome
+        if outcome.header("Waxwing-Request"):
+            resumed = await self._resume(outcome)
+            if resumed.ok:
+                return resumed
+        if outcome.status in (0, 200, 503):
+            return await self.resend()
+        return outcome
+
+    async def resend(self):
+        """Send the same request once more, through the other entry."""
+        outcome = await self._send(self.other_entry)
+        self.outcomes.append(outcome)
+        return outcome
+
+    async def _resume(self, cut):
+        """Ask the other entry for the rest of a cut stream."""
+        rest = await self.caller.resume(
+            self.other_entry, cut.header("Waxwing-Request"), offset=len(cut.events)
+        )
+        resumed = replace(rest, events=cut.events + rest.events)
+        self.outcomes.append(resumed)
+        return resumed
+
+    def is_own_answer(self, outcome):
+        """Return whether an answer is this request's, whole and to the letter."""
+        if self.kind.streamed:
+            expected = [
+                token_text(self.text, "v1", place) for place in range(TOKENS_COUNT)
+            ]
+            return list(outcome.events) == expected
+        document = json.loads(outcome.body)
+        return (document["body"], document["customer"]) == (self.text, "suva")
+
+    def is_own_beginning(self, outcome):
+        """Return whether the events of a cut stream are this request's own."""
+        expected = [
+            token_text(self.text, "v1", place) for place in range(len(outcome.events))
+        ]
+        return list(outcome.events) == expected
+
+    def release(self):
+        """Let go of whatever holds the request at its step."""
+        for undo in self._undo:
+            undo()
+        self._undo = []
+
+    async def until_submit_leaves(self):
+        """Hold the request as it leaves its entry."""
+        tap = self.fleet.entries[self.entry].tap
+        self.held = tap.add(Held(matches=lambda one: isinstance(one, Submit)))
+        self._undo.append(self.held.release)
+        self.start()
+        await self._until(self.held.met.is_set, "a submit")
+
+    async def until_queued(self):
+        """Hold the request in its agent's queue."""
+        runners = [node.process.runner for node in self.fleet.agents.values()]
+        for runner in runners:
+            self._stop_slots(runner)
+        self.start()
+        agents = self.fleet.agents.values()
+        await self._until(
+            lambda: any(len(node.process.queue) for node in agents), "a queued request"
+        )
+
+    async def until_started(self):
+        """Wait until the target works on the request, and stall it there."""
+        if self.kind.streamed:
+            self.start()
+            await self._until(self.begun.is_set, "the first events")
+            return
+        for target in self.fleet.targets.values():
+            target.set_faults(stalled=True)
+            self._undo.append(lambda target=target: self._unstall(target))
+        self.start()
+        agents = self.fleet.agents.values()
+        await self._until(
+            lambda: any(node.process.runner.running_count for node in agents),
+            "a running request",
+        )
+        await asyncio.sleep(SETTLE_S)
+
+    async def until_answer_leaves(self):
+        """Hold the answer, or all frames of a stream, as it leaves its agent."""
+        kinds = (Chunk, End) if self.kind.streamed else (Answer,)
+        rules = [
+            node.tap.add(
+                Held(
+                    matches=lambda one: isinstance(one, kinds),
+                    limit_count=HELD_LIMIT_COUNT,
+                )
+            )
+            for node in self.fleet.agents.values()
+        ]
+        self._undo += [rule.release for rule in rules]
+        self.start()
+        await self._until(lambda: any(rule.met.is_set() for rule in rules), "an answer")
+        if self.kind.streamed:
+            await asyncio.sleep(SETTLE_S)
+        self.held = next(rule for rule in rules if rule.met.is_set())
+
+    async def until_answer_at_entry(self):
+        """Hold the whole answer in the entry."""
+        process = self.fleet.entries[self.entry].process
+        arrived, gate = asyncio.Event(), asyncio.Event()
+        make = process.attempts
+
+        def make_gated(request):
+            return _gated(make(request), arrived, gate)
+
+        process.attempts = make_gated
+        self._undo.append(gate.set)
+        self.start()
+        await self._until(arrived.is_set, "an answer at the entry")
+
+    async def until_done(self):
+        """Wait until the caller has its answer."""
+        await self.finish()
+
+    async def _until(self, condition, what):
+        await until(condition, limit_s=STEP_LIMIT_S, what=what)
+
+    async def _send(self, entry):
+        if self.kind.streamed:
+            return await self.caller.stream(
+                entry, self.text, TOKENS_COUNT, seen=self._seen
+            )
+        return await self.caller.call(
+            entry, self.kind.call, self.text.encode(), key=self._key
+        )
+
+    def _seen(self, events, response):
+        if len(events) >= TOKENS_BEFORE_FAULT_COUNT:
+            self.begun.set()
+
+    def _effects(self):
+        return self.fleet.effects_count(self.kind.call)
+
+    def _stop_slots(self, runner):
+        slots_count = runner._slots_count
+        runner._slots_count = lambda: 0
+
+        def restore():
+            runner._slots_count = slots_count
+            runner.wake()
+
+        self._undo.append(restore)
+
+    def _unstall(self, target):
+        if not (self.kept_stalled and target.name == self.target):
+            target.set_faults(stalled=False)
+
+
+def _gated(attempts, arrived, gate):
+    """Return ``attempts`` whose whole answer waits for ``gate``."""
+    answer, stream = attempts.answer, attempts.stream
+
+    async def answer_gated():
+        whole = await answer()
+        arrived.set()
+        await gate.wait()
+        return whole
+
+    async def stream_gated():
+        async for batch in stream():
+            yield batch
+        arrived.set()
+        await gate.wait()
+
+    attempts.answer = answer_gated
+    attempts.stream = stream_gated
+    return attempts
--- /dev/null
+++ b/tests/test_faults_matrix.py
@@ -0,0 +1,158 @@
+"""Every fault at every step: effects, verdicts, answers and time."""
+
+import asyncio
+import functools
+import itertools
+import unittest
+
+import logbook
+
+from .support.fleet import TWO_ENGINES, TWO_WORKERS, Fleet
+from .support.matrix import FAULTS, KINDS, STEPS, cells, why_impossible
+from .support.scene import SETTLE_S, Scene
+
+DEADLINE_MS = 2000
+# Verdicts wait for their turn in an event loop that runs many fleets.
+GRACE_MS = 600
+WORKERS_FLEETS_COUNT = 5
+ENGINES_FLEETS_COUNT = 2
+CELL_LIMIT_S = 25.0
+
+
+class CellRun:
+    """Runs one cell in a fleet and checks what must hold.
+
+    Args:
+        fleet: A fleet without faults; it has none afterwards either.
+        cell: The cell.
+        text: Names the request; no other one of the fleet has it.
+    """
+
+    def __init__(self, *, fleet, cell, text):
+        self._fleet = fleet
+        self._cell = cell
+        self._kind = KINDS[cell.kind]
+        self._scene = Scene(fleet=fleet, kind=self._kind, text=text)
+
+    async def problems(self):
+        """Return what went wrong, as texts."""
+        fault, bring = FAULTS[self._cell.fault], STEPS[self._cell.step]
+        scene = self._scene
+        await scene.prepare()
+        if bring is not None:
+            await bring(scene)
+        await fault.strike(scene)
+        scene.release()
+        outcome = await self._outcome()
+        await self._fleet.mend()
+        await asyncio.sleep(SETTLE_S)
+        return [
+            f"{self._cell}: {problem}"
+            for problem in [
+                *self._wrong_effects(outcome),
+                *self._wrong_answers(),
+                *self._late_verdicts(),
+                *self._wrong_end(outcome, fault),
+            ]
+        ]
+
+    async def _outcome(self):
+        if self._cell.step != "after":
+            return await self._scene.finish()
+        if self._kind.resent:
+            return await self._scene.resend()
+        return self._scene.outcomes[-1]
+
+    def _wrong_effects(self, outcome):
+        count = self._scene.effects_count
+        if not self._kind.repeatable and count > 1:
+            yield f"ran {count} times"
+        if outcome.ran == "not_run" and count and not self._kind.repeatable:
+            yield f"was refused as not run and ran {count} times"
+        if outcome.ok and not count and not self._kind.streamed:
+            yield "was answered and did not run"
+
+    def _wrong_answers(self):
+        for outcome in self._scene.outcomes:
+            if outcome.ok and not self._scene.is_own_answer(outcome):
+                yield f"got a wrong answer that looks whole: {outcome}"
+            if self._kind.streamed and not self._scene.is_own_beginning(outcome):
+                yield f"got wrong events: {outcome}"
+
+    def _late_verdicts(self):
+        for outcome in self._scene.outcomes:
+            if outcome.elapsed_ms > DEADLINE_MS + GRACE_MS:
+                yield f"heard its verdict after {outcome.elapsed_ms:.0f} ms"
+
+    def _wrong_end(self, outcome, fault):
+        must_succeed = self._kind.repeatable or (self._cell.step in fault.harmless_at)
+        if must_succeed and not outcome.ok:
+            yield (
+                f"was not answered: status {outcome.status}, code {outcome.code}, "
+                f"ran {outcome.ran}, {len(outcome.events)} events"
+            )
+
+
+async def _work(todo, targets, problems):
+    fleet = Fleet(
+        targets=targets,
+        deadline_ms=DEADLINE_MS,
+        entry_options={"retry_budget_ratio": 1.0},
+    )
+    async with fleet.running():
+        for number, cell in todo:
+            try:
+                async with asyncio.timeout(CELL_LIMIT_S):
+                    run = CellRun(fleet=fleet, cell=cell, text=f"request {number}")
+                    problems[cell] = await run.problems()
+            except (AssertionError, TimeoutError) as error:
+                problems[cell] = [f"{cell}: {error!r}"]
+                await fleet.mend()
+
+
+async def _run_cells(possible):
+    problems = {}
+    numbered = list(enumerate(possible))
+    on_engines = iter([item for item in numbered if KINDS[item[1].kind].streamed])
+    on_workers = iter([item for item in numbered if not KINDS[item[1].kind].streamed])
+    plans = itertools.chain(
+        itertools.repeat((on_workers, TWO_WORKERS), WORKERS_FLEETS_COUNT),
+        itertools.repeat((on_engines, TWO_ENGINES), ENGINES_FLEETS_COUNT),
+    )
+    async with asyncio.TaskGroup() as group:
+        for todo, targets in plans:
+            group.create_task(_work(todo, targets, problems))
+    return problems
+
+
+@functools.cache
+def run_matrix():
+    """Run every cell that can happen; return the problems by cell."""
+    possible = [cell for cell in cells() if not why_impossible(cell)]
+    with logbook.NullHandler().applicationbound():
+        return asyncio.run(_run_cells(possible))
+
+
+class FaultMatrixTest(unittest.TestCase):
+    """One test for each fault, over all steps and kinds of call."""
+
+    def check(self, fault):
+        """Fail with every cell of ``fault`` in which something did not hold."""
+        problems = run_matrix()
+        ran = [cell for cell in problems if cell.fault == fault]
+        self.assertTrue(ran, "no cell of the fault was run")
+        found = [problem for cell in ran for problem in problems[cell]]
+        self.assertEqual([], found, "\n" + "\n".join(found))
+
+
+def _add_tests():
+    for name in FAULTS:
+
+        def test(self, name=name):
+            self.check(name)
+
+        test.__doc__ = FAULTS[name].strike.__doc__
+        setattr(FaultMatrixTest, f"test_{name}", test)
+
+
+_add_tests()
