--- a/src/waxwinghold/_agent/runner.py
+++ b/src/waxwinghold/_agent/runner.py
@@ -27,16 +27,20 @@
         ledger: The ledger of once-only keys.
         client: The ``TargetClient``.
         monitor: The ``TargetMonitor``; hears at once of a target that failed.
+        metrics: The process's ``Metrics``.
         slots_count: Returns how many requests may run at once.
         kind: Returns the target's ``Kind``.
     """
 
-    def __init__(self, *, clock, queue, ledger, client, monitor, slots_count, kind):
+    def __init__(
+        self, *, clock, queue, ledger, client, monitor, metrics, slots_count, kind
+    ):
         self._clock = clock
         self._queue = queue
         self._ledger = ledger
         self._client = client
         self._monitor = monitor
+        self._metrics = metrics
         self._slots_count = slots_count
         self._kind = kind
         self._running = set()
@@ -71,8 +75,14 @@
         if work.key is not None:
             decision = self._ledger.refuse(work.key.nonce, verdict)
             verdict = decision.verdict or verdict
+        self._metrics.count("refusals", label=verdict.code)
         work.end_with_verdict(verdict, now_ms=self._clock.now_ms())
 
+    def refuse_waiting(self, error):
+        """End every request that waits, as not run; another target takes it."""
+        while (item := self._queue.take(self._clock.now_ms())) is not None:
+            self.refuse(item.payload, error.verdict())
+
     def cancel(self, work):
         """Stop ``work``; what has started may have run."""
         if work.phase == Phase.ENDED:
@@ -117,6 +127,7 @@
         if work.phase == Phase.ENDED:
             return
         self.queue_wait_ms = self._clock.now_ms() - work.arrived_ms
+        self._metrics.record_ms("queue_wait", self.queue_wait_ms)
         self._alone = work.submit.suspect
         self._running.add(work)
         work.task = asyncio.create_task(self._run(work))
--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -1,8 +1,6 @@
 """The callers' interface over HTTP, as ``docs/CALLERS.md`` describes it."""
 
 import asyncio
-import json
-import math
 
 import logbook
 from aiohttp import web
@@ -11,6 +9,7 @@
     BadRequestError,
     BodyTooLargeError,
     DrainingError,
+    InternalError,
     KeyRequiredError,
     OverloadedError,
     RequestError,
@@ -18,13 +17,14 @@
 from .._sheet.model import Repeat
 from .._verdict import Ran
 from .callers import CallerHeaders
+from .refusals import error_response
+from .sse import StreamWriter
 from .tokens import read_token
 
 log = logbook.Logger("http")
 
 BODY_READ_LIMIT_MS = 10_000
 MS_PER_SECOND = 1000
-SSE_TYPE = "text/event-stream"
 
 
 def make_app(process):
@@ -33,11 +33,11 @@
     Args:
         process: The ``EntryProcess``.
     """
+    callers = CallersInterface(process=process)
     app = web.Application(
         client_max_size=process.settings.body_limit_bytes,
-        middlewares=[_answer_errors],
+        middlewares=[callers.answer_errors],
     )
-    callers = CallersInterface(process=process)
     app.router.add_post("/v1/services/{service}/calls/{call}", callers.call)
     app.router.add_post("/v1/services/{service}/keys", callers.issue_key)
     app.router.add_get("/v1/requests/{token}/stream", callers.resume)
@@ -46,39 +46,6 @@
     return app
 
 
-@web.middleware
-async def _answer_errors(request, handler):
-    try:
-        return await handler(request)
-    except RequestError as error:
-        return error_response(error)
-    except web.HTTPRequestEntityTooLarge as error:
-        return error_response(BodyTooLargeError(limit_bytes=error.max_size))
-
-
-def error_response(error):
-    """Return the HTTP answer of a refusal, with its verdict."""
-    headers = {"Waxwing-Ran": error.ran.value, "Waxwing-Error": error.code}
-    if error.retry_after_ms is not None:
-        seconds = math.ceil(error.retry_after_ms / MS_PER_SECOND)
-        headers["Retry-After"] = str(seconds)
-    return web.json_response(
-        error_document(error), status=error.status, headers=headers
-    )
-
-
-def error_document(error):
-    """Return a refusal as the JSON that callers get."""
-    return {
-        "error": {
-            "code": error.code,
-            "reason": str(error),
-            "ran": error.ran.value,
-            "retry_after_ms": error.retry_after_ms,
-        }
-    }
-
-
 class CallersInterface:
     """Handles the callers' requests.
 
@@ -89,6 +56,25 @@
     def __init__(self, *, process):
         self._process = process
 
+    @web.middleware
+    async def answer_errors(self, request, handler):
+        """Turn refusals into answers with verdicts, and count them."""
+        try:
+            return await handler(request)
+        except RequestError as error:
+            return self._refuse(error)
+        except web.HTTPRequestEntityTooLarge as error:
+            return self._refuse(BodyTooLargeError(limit_bytes=error.max_size))
+        except (web.HTTPException, ConnectionError):
+            raise
+        except Exception:
+            log.exception("a request failed")
+            return self._refuse(InternalError())
+
+    def _refuse(self, error):
+        self._process.metrics.count("refusals", label=error.code)
+        return error_response(error)
+
     async def health(self, request):
         """Tell the platform's balancer whether this entry takes new work."""
         index = self._process.fleet.index
@@ -113,6 +99,7 @@
         with self._process.counting():
             body = await _read_body(request)
             admitted = self._process.admission.admit(
+                index=index,
                 customer=customer,
                 service=service,
                 call=call,
@@ -167,7 +154,7 @@
     def _check_room(self, *, keyed):
         # Another entry may have sent the key on: this one cannot say "not run".
         ran = Ran.MAY_HAVE_RUN if keyed else Ran.NOT_RUN
-        if self._process.leaving:
+        if self._process.refusing:
             raise DrainingError(
                 "this entry is being stopped; another one serves",
                 ran=ran,
@@ -182,11 +169,14 @@
             )
 
     async def _answer(self, attempts):
+        started_ms = self._process.clock.now_ms()
         try:
             answer = await attempts.answer()
         except asyncio.CancelledError:
             attempts.abandon()
             raise
+        elapsed_ms = self._process.clock.now_ms() - started_ms
+        self._process.metrics.record_ms("answer", elapsed_ms)
         return web.Response(
             status=answer.status,
             body=answer.body,
@@ -199,11 +189,7 @@
 
     async def _stream(self, request, attempts, *, offset=0):
         """Pass a streamed answer on; it ends whole or visibly broken."""
-        writer = StreamWriter(
-            request=request,
-            offset=offset,
-            keepalive_ms=self._process.settings.keepalive_interval_ms,
-        )
+        writer = StreamWriter(process=self._process, request=request, offset=offset)
         try:
             await writer.send_all(attempts)
         except (asyncio.CancelledError, ConnectionError):
@@ -213,103 +199,14 @@
             if not writer.started:
                 raise
             await writer.break_off(error)
+        except Exception:
+            if not writer.started:
+                raise
+            log.exception("a streamed answer failed")
+            await writer.break_off(InternalError())
         return writer.response
 
 
-class StreamWriter:
-    """Writes server-sent events to one caller.
-
-    An event's id is the number of events up to and with it, so that a caller
-    that sends the last id it saw gets what follows.
-
-    Args:
-        offset: The place of the first event.
-        keepalive_ms: Time between comments while there are no events.
-    """
-
-    def __init__(self, *, request, offset, keepalive_ms):
-        self._request = request
-        self._place = offset
-        self._keepalive_ms = keepalive_ms
-        self._seat_name = ""
-        self.response = None
-
-    @property
-    def started(self):
-        """Whether the caller has got the beginning of the answer."""
-        return self.response is not None
-
-    async def send_all(self, attempts):
-        """Send every event and the end.
-
-        Raises:
-            RequestError: The answer cannot be completed.
-        """
-        batches = attempts.stream()
-        pending = None
-        try:
-            while True:
-                pending = pending or asyncio.ensure_future(anext(batches, None))
-                done, _ = await asyncio.wait(
-                    {pending}, timeout=self._keepalive_ms / MS_PER_SECOND
-                )
-                if not done:
-                    await self._keep_alive()
-                    continue
-                batch = pending.result()
-                pending = None
-                if batch is None:
-                    break
-                await self._send_batch(attempts, batch)
-        finally:
-            if pending is not None:
-                pending.cancel()
-                await asyncio.gather(pending, return_exceptions=True)
-            await batches.aclose()
-        await self._start(attempts)
-        await self._write(f'event: end\ndata: {{"length": {self._place}}}\n\n')
-        await self.response.write_eof()
-
-    async def break_off(self, error):
-        """Tell what is known and cut the transfer, so that it looks broken."""
-        document = json.dumps(error_document(error))
-        await self._write(f"event: error\ndata: {document}\n\n")
-        if self._request.transport is not None:
-            # Without the closing chunk no client takes the answer for whole.
-            self._request.transport.close()
-
-    async def _start(self, attempts):
-        if self.started:
-            return
-        response = web.StreamResponse()
-        response.content_type = SSE_TYPE
-        response.headers["Cache-Control"] = "no-store"
-        response.headers["Waxwing-Request"] = attempts.token()
-        response.headers["Waxwing-Target"] = attempts.seat.name
-        self._seat_name = attempts.seat.name
-        await response.prepare(self._request)
-        self.response = response
-
-    async def _send_batch(self, attempts, batch):
-        await self._start(attempts)
-        pieces = []
-        if attempts.seat.name != self._seat_name:
-            self._seat_name = attempts.seat.name
-            token = json.dumps({"request": attempts.token()})
-            pieces.append(f"event: request\ndata: {token}\n\n")
-        for event in batch:
-            self._place += 1
-            pieces.append(f"id: {self._place}\ndata: {json.dumps(event)}\n\n")
-        await self._write("".join(pieces))
-
-    async def _keep_alive(self):
-        if self.started:
-            await self._write(": keep-alive\n\n")
-
-    async def _write(self, text):
-        await self.response.write(text.encode())
-
-
 def _caller_headers(request):
     return CallerHeaders(
         customer=request.headers.get("Waxwing-Customer", ""),
--- a/src/waxwinghold/_links/server.py
+++ b/src/waxwinghold/_links/server.py
@@ -7,6 +7,7 @@
 import zmq.asyncio
 
 from .._messages import (
+    FRAME_LIMIT_BYTES,
     Heartbeat,
     Hello,
     Leaving,
@@ -21,7 +22,6 @@
 SEND_LIMIT_COUNT = 100_000
 INBOX_LIMIT_COUNT = 10_000
 HANDSHAKE_LIMIT_MS = 5000
-FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 
 
 class Connection:
--- a/src/waxwinghold/_messages/__init__.py
+++ b/src/waxwinghold/_messages/__init__.py
@@ -38,6 +38,7 @@
     "Detach",
     "DrainOrder",
     "End",
+    "FRAME_LIMIT_BYTES",
     "Heartbeat",
     "Hello",
     "Leaving",
--- a/src/waxwinghold/_process.py
+++ b/src/waxwinghold/_process.py
@@ -5,6 +5,7 @@
 import logbook
 import msgspec
 import zmq.asyncio
+from aiohttp import web
 
 from ._audit import AuditTrail
 from ._keys import TokenMint, random_name
@@ -15,12 +16,12 @@
     DrainOrder,
     Leaving,
     OrderReply,
-    SheetDelta,
-    SheetFull,
     SheetPull,
     StatusQuery,
     StatusReply,
 )
+from ._metrics import Metrics, add_metrics_route
+from ._settings import split_ip_port
 from ._sheet.spreading import SheetSpreader
 from ._sheet.store import SheetStore
 
@@ -61,6 +62,7 @@
             report=self.report,
         )
         self.leaving = False
+        self.metrics = Metrics(process=settings.name)
         self.server = None
         self.context = None
         self.key_ring = KeyRing(known_keys=settings.known_keys)
@@ -87,6 +89,9 @@
     async def stop_role(self):
         """Stop what ``start_role`` started."""
 
+    async def await_notice(self):
+        """Go on as before until those who send work know of the stop."""
+
     def status(self):
         """Return the process's status, in plain types."""
         return {
@@ -103,6 +108,7 @@
             "links_refused_count": self.key_ring.refused_count
             + self.server.refused_count,
             "frames_malformed_count": self.server.malformed_count,
+            "metrics": self.metrics.summary(),
         }
 
     async def run(self):
@@ -120,12 +126,16 @@
         self.spawn(self.server.run())
         self.spawn(self._spread())
         await self.start_role()
+        site = await self._serve_metrics()
         log.info('{} "{}" is up', self.role, self.settings.name)
         try:
             await self._stop.wait()
+            await self.await_notice()
             await self._finish_in_flight()
         finally:
             await self.stop_role()
+            if site is not None:
+                await site.cleanup()
             for task in list(self._tasks):
                 task.cancel()
             await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -172,12 +182,12 @@
             self.spreader.lost(peer.name)
 
     def on_sheet_message(self, peer, message):
-        """Answer a pull, or take in a sheet."""
+        """Answer a pull, or take in a sheet of a peer that was heard before."""
         if isinstance(message, SheetPull):
             answer = self.spreader.answer(message)
             if answer is not None:
                 peer.send(answer)
-        elif isinstance(message, SheetFull | SheetDelta):
+        elif peer.name in self._sheet_peers:
             self._send_pull(self.spreader.take(message, peer.name))
 
     def on_operator_message(self, connection, message):
@@ -216,6 +226,19 @@
         while self.unfinished_count() and self.clock.now_ms() < limit_ms:
             await self.clock.sleep_ms(DRAIN_CHECK_INTERVAL_MS)
 
+    async def _serve_metrics(self):
+        """Serve metrics if the settings name an address; return the runner."""
+        self.metrics.gauge("in_flight_count", self.unfinished_count)
+        self.metrics.gauge("sheet_version", lambda: self.store.version)
+        if not self.settings.metrics_address:
+            return None
+        app = web.Application()
+        add_metrics_route(app, self.metrics)
+        runner = web.AppRunner(app, access_log=None)
+        await runner.setup()
+        await web.TCPSite(runner, *split_ip_port(self.settings.metrics_address)).start()
+        return runner
+
     def _task_done(self, task):
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
