--- a/tests/test_standin_lock_step.py
+++ b/tests/test_standin_lock_step.py
@@ -52,9 +52,12 @@
         await self.order_all(group, "load_experts", experts=[1, 2], map_id="m2")
         step = group.steps.step + 5
         await self.order_all(group, "hold_before", step=step)
+        await self.until(lambda: group.steps.step == step - 1)
         await self.order_all(group, "switch_map", map_id="m2", step=step)
-        await self.assert_goes_on(group)
         await self.order_all(group, "drop_map", map_id="initial")
+        await self.assert_stands(group)
+        await self.order_all(group, "hold_before", step=None)
+        await self.assert_goes_on(group)
         _, answer = await self.get(f"{group.urls[0]}/steps")
         self.assertEqual(answer["mixed_count"], 0)
         maps = [record.map_ids[0] for record in group.steps.records]
@@ -72,7 +75,7 @@
         self.assertEqual(maps, ["m2", "initial", "initial"])
 
     async def test_a_map_is_switched_to_only_when_it_is_loaded(self):
-        group = await self.group(load_expert_ms=20.0)
+        group = await self.group(loading={"load_expert_ms": 20.0})
         url = group.urls[0]
         await self.order(url, "load_experts", experts=[1, 2], map_id="m2")
         status, answer = await self.order(url, "switch_map", map_id="m2", step=9)
@@ -82,7 +85,7 @@
         status, _ = await self.order(url, "switch_map", map_id="m2", step=10**9)
         self.assertEqual(status, 200)
         await self.order(url, "load_experts", experts=[2, 3], map_id="m3")
-        self.assertEqual(group.engines[0].desk.experts_loaded_count, 3)
+        self.assertEqual(group.engines[0].desk.loader.experts_loaded_count, 3)
 
     async def test_a_replaced_rank_steps_only_once_it_knows_a_map(self):
         group = await self.group()
@@ -109,3 +112,18 @@
         step = group.steps.step
         await asyncio.sleep(0.2)
         self.assertLessEqual(group.steps.step - step, 5)
+
+    async def test_a_map_in_use_is_not_dropped(self):
+        group = await self.group(step_ms=20.0)
+        await self.order_all(group, "load_experts", experts=[1], map_id="m2")
+        step = group.steps.step + 10
+        await self.order_all(group, "hold_before", step=step)
+        await self.order_all(group, "switch_map", map_id="m2", step=step)
+        for map_id in ("initial", "m2"):
+            status, _ = await self.order(group.urls[0], "drop_map", map_id=map_id)
+            self.assertEqual(status, 422)
+        _, answer = await self.get(f"{group.urls[0]}/map")
+        self.assertEqual(answer["map_id"], "initial")
+        await self.until(lambda: group.steps.step == step - 1)
+        _, answer = await self.get(f"{group.urls[0]}/map")
+        self.assertEqual(answer["map_id"], "m2")
