Do not log callers who go away as failures

Cause: a vanished caller's closed transport left the handler as an error. Ruled out: real write errors, which are told apart by their type. Before: a traceback for each caller that went. After: the work is let go of.

--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -192,9 +192,12 @@
         writer = StreamWriter(process=self._process, request=request, offset=offset)
         try:
             await writer.send_all(attempts)
-        except (asyncio.CancelledError, ConnectionError):
+        except asyncio.CancelledError:
             attempts.abandon()
             raise
+        except ConnectionError:
+            # The caller has gone; there is nobody left to answer.
+            attempts.abandon()
         except RequestError as error:
             if not writer.started:
                 raise
