Run the fleet's groups in lock-step on request, and give no port twice

Cause: a killed worker of a group stalls its other ranks, which single engines do not show. Ports came from a fresh draw for each role, so that two processes could get one: the demonstration's start failed once in three runs. Ruled out: holding all ports until the children bind them, which they could not do then.

--- a/src/waxwinghold_bench/callers.py
+++ b/src/waxwinghold_bench/callers.py
@@ -38,6 +38,7 @@
         length: The length that the end event named, or ``None``: an answer
             without one is not whole.
         target: The target that the answer began on.
+        error: The code of the error event, or an empty text.
         targets_count: How many targets the answer came from, one after another.
     """
 
@@ -47,6 +48,7 @@
         self.tokens = []
         self.length = None
         self.status = response.status
+        self.error = ""
         self.targets_count = 1
         self.target = response.headers.get("Waxwing-Target", "")
 
@@ -78,6 +80,8 @@
     def _take(self, event, value):
         if event == "end":
             self.length = value["length"]
+        elif event == "error":
+            self.error = value["error"]["code"]
         elif event == "request":
             self.targets_count += 1
         elif not event:
--- a/src/waxwinghold_bench/children.py
+++ b/src/waxwinghold_bench/children.py
@@ -28,6 +28,7 @@
     def __init__(self, *, name, module, arguments, log_path):
         self.name = name
         self._log_path = log_path
+        self._told_to_end = False
         with open(log_path, "ab") as log:
             self._process = subprocess.Popen(
                 [sys.executable, "-m", module, *arguments],
@@ -48,8 +49,8 @@
         return self._process.poll()
 
     def check(self):
-        """Raise ``ChildError`` if the process has ended."""
-        if self.exit_status is not None:
+        """Raise ``ChildError`` if the process has ended by itself."""
+        if self.exit_status is not None and not self._told_to_end:
             reason = f'"{self.name}" ended with {self.exit_status}: {self.log_tail()}'
             raise ChildError(reason)
 
@@ -65,10 +66,12 @@
 
     def terminate(self):
         """Ask the process to end in order."""
+        self._told_to_end = True
         self.signal(signal.SIGTERM)
 
     def kill(self):
         """End the process at once."""
+        self._told_to_end = True
         self.signal(signal.SIGKILL)
 
     def pause(self):
--- a/src/waxwinghold_bench/demo.py
+++ b/src/waxwinghold_bench/demo.py
@@ -5,6 +5,8 @@
 import sys
 from dataclasses import dataclass
 
+import fire
+
 from waxwinghold._tool.reports import text_table
 
 from .callers import Caller
@@ -27,12 +29,13 @@
     outcome: Outcome
 
 
-async def run_example(example):
+async def run_example(example, *, lock_step):
     """Run every step of one example and return its rows."""
     fleet = Fleet(
         sheet=example.sheet(),
         entries_per_data_centre_count=ENTRIES_PER_DATA_CENTRE_COUNT,
         engine_options=ENGINE_OPTIONS,
+        lock_step=lock_step,
     )
     rows = []
     try:
@@ -74,13 +77,13 @@
     return text_table(("example", "step", "ok", "expected", "seen"), cells)
 
 
-async def _run():
+async def _run(lock_step):
     # A stop by SIGTERM ends the children too.
     loop = asyncio.get_running_loop()
     loop.add_signal_handler(signal.SIGTERM, _cancel_once, asyncio.current_task())
     rows = []
     for example in EXAMPLES:
-        rows.extend(await run_example(example))
+        rows.extend(await run_example(example, lock_step=lock_step))
     return rows
 
 
@@ -90,10 +93,14 @@
         task.cancel()
 
 
-def main():
-    """Run the demonstration; the exit status is 0 only if all was as expected."""
+def main(*, lock_step=False):
+    """Run the demonstration; the exit status is 0 only if all was as expected.
+
+    Args:
+        lock_step: Whether the engines of a group step together or not at all.
+    """
     try:
-        rows = asyncio.run(_run())
+        rows = asyncio.run(_run(lock_step))
     except asyncio.CancelledError:
         sys.exit("stopped by a signal")
     print(table(rows))
@@ -103,4 +110,4 @@
 
 
 if __name__ == "__main__":
-    main()
+    fire.Fire(main)
--- a/src/waxwinghold_bench/demo_steps.py
+++ b/src/waxwinghold_bench/demo_steps.py
@@ -108,7 +108,10 @@
 def _wholeness(stream, expected_text):
     if stream.is_whole and stream.text == expected_text:
         return f"{stream.length} tokens, whole"
-    return f"{len(stream.tokens)} tokens of {stream.length}, status {stream.status}"
+    return (
+        f"{len(stream.tokens)} tokens of {stream.length}, "
+        f"status {stream.status}, error {stream.error or 'none'}"
+    )
 
 
 @step("{question}")
@@ -157,7 +160,7 @@
 async def _worker_killed(scene):
     async with scene.streaming(scene.entries[0], LONG_TOKENS_COUNT) as stream:
         await stream.read(until_count=TOKENS_BEFORE_FAULT_COUNT)
-        scene.fleet.kill_target(stream.target)
+        await scene.fleet.kill_target(stream.target)
         await stream.read()
     whole = _wholeness(stream, scene.expected_text(LONG_TOKENS_COUNT))
     return Outcome(
--- a/src/waxwinghold_bench/fleet.py
+++ b/src/waxwinghold_bench/fleet.py
@@ -11,13 +11,13 @@
 from .children import Child
 from .places import free_addresses, make_places, process_settings
 from .status import StatusReader
+from .target_standins import TargetStandIns
 
 READY_LIMIT_S = 30
 READY_POLL_S = 0.1
 ANSWER_LIMIT_S = 2
 DAEMON_MODULE = "waxwinghold"
 STANDIN_PACKAGE = "waxwinghold_standins"
-STANDINS = {"model": "engine", "plain": "service"}
 
 
 class Fleet:
@@ -32,6 +32,7 @@
         agent_settings: The same for every agent.
         engine_options: Options of every stand-in engine.
         service_options: Options of every stand-in service.
+        lock_step: Whether the groups' engines step together.
     """
 
     def __init__(
@@ -43,6 +44,7 @@
         agent_settings=None,
         engine_options=None,
         service_options=None,
+        lock_step=False,
     ):
         self.agents = make_places(role="agent", names=_target_names(sheet))
         entry_names = _entry_names(sheet, entries_per_data_centre_count)
@@ -52,10 +54,13 @@
         self.session = None
         self.platform_url = None
         self._settings = {"entry": entry_settings or {}, "agent": agent_settings or {}}
-        self._options = {
-            "model": engine_options or {},
-            "plain": service_options or {},
-        }
+        self._standins = TargetStandIns(
+            sheet=self.sheet,
+            places=self.agents,
+            options={"model": engine_options or {}, "plain": service_options or {}},
+            lock_step=lock_step,
+            fleet=self,
+        )
         (self._operator,) = make_places(role="operator", names={"op": ""}).values()
         self._status_reader = StatusReader(operator=self._operator)
         self._directory = None
@@ -80,27 +85,15 @@
             if row["service"] == service
         ]
 
-    def kill_target(self, target):
+    async def kill_target(self, target):
         """Kill a target's host: the agent and the stand-in at once."""
         self.children[target].kill()
-        self.children[_standin_name(target)].kill()
-
-    def start_target(self, target):
-        """Start a target's stand-in."""
-        row = next(row for row in self.sheet["targets"] if row["name"] == target)
-        kind = _kinds(self.sheet)[row["service"]]
-        options = dict(self._options[kind])
-        if kind == "model":
-            options["model_version"] = row["version"]
-            options["adapters"] = ",".join(row.get("adapters", ()))
-            options["checks_orders"] = row.get("checks_orders", True)
-            options["slots_count"] = row.get("slots_count", 8)
-        self._start_standin(
-            _standin_name(target),
-            STANDINS[kind],
-            address=self.agents[target].http_address,
-            **options,
-        )
+        await self._standins.kill(target)
+
+    async def replace_target(self, target):
+        """Start a killed target's agent and stand-in afresh."""
+        await self._standins.replace(target)
+        self.start_agent(target)
 
     def start_agent(self, target):
         """Start the agent beside a target; a new one forgets what the old knew."""
@@ -125,6 +118,17 @@
         settings["peers"] = [peer.peer() for peer in peers]
         self._start_daemon(entry, settings)
 
+    def start_standin(self, name, module, **options):
+        """Start a stand-in as a child of its own.
+
+        Args:
+            name: The child's name.
+            module: The stand-in's module.
+            options: Its command line.
+        """
+        arguments = [f"--{key}={value}" for key, value in options.items()]
+        self._start_child(name, f"{STANDIN_PACKAGE}.{module}", arguments)
+
     async def wait_ready(self, *, targets_count=None):
         """Wait until every entry has a link to every target, all healthy.
 
@@ -167,15 +171,15 @@
         self.platform_url = f"http://{address}"
         places = [*self.agents.values(), *self.entries.values()]
         hosts = {"hosts": [place.host() for place in places]}
-        self._start_standin(
+        self.start_standin(
             "platform",
             "platform",
             address=address,
             sheet=self._write("sheet.json", self.sheet),
             hosts=self._write("hosts.json", hosts),
         )
+        self._standins.start_all()
         for target in self.agents:
-            self.start_target(target)
             self.start_agent(target)
         for name in self.entries:
             self.start_entry(name)
@@ -220,10 +224,6 @@
         path = self._write(f"{place.name}.settings.json5", settings)
         self._start_child(place.name, DAEMON_MODULE, [place.role, path])
 
-    def _start_standin(self, name, module, **options):
-        arguments = [f"--{key}={value}" for key, value in options.items()]
-        self._start_child(name, f"{STANDIN_PACKAGE}.{module}", arguments)
-
     def _start_child(self, name, module, arguments):
         log_path = self._directory / f"{name}.log"
         self.children[name] = Child(
@@ -236,10 +236,6 @@
         return str(path)
 
 
-def _standin_name(target):
-    return f"{target}-standin"
-
-
 def _target_names(sheet):
     return {row["name"]: row["data_centre"] for row in sheet["targets"]}
 
@@ -253,10 +249,6 @@
     }
 
 
-def _kinds(sheet):
-    return {service["name"]: service["kind"] for service in sheet["services"]}
-
-
 def _placed(sheet, agents):
     """Return the sheet with the agents' addresses and keys of this fleet."""
     targets = [
--- a/src/waxwinghold_bench/places.py
+++ b/src/waxwinghold_bench/places.py
@@ -1,6 +1,5 @@
 """Where the processes of a fleet stand: addresses, keys and settings."""
 
-import contextlib
 import itertools
 import random
 import socket
@@ -55,23 +54,34 @@
         return self.peer() | {"role": self.role, "state": "live"}
 
 
+def _ports_in_turn():
+    """Yield ports for ever, from a random one on.
+
+    One run of neighbours meets that of another bench less often than ports
+    drawn one by one would.
+    """
+    begin = random.choice(PORTS)
+    yield from itertools.cycle([*range(begin, PORTS.stop), *PORTS])
+
+
+_ports = _ports_in_turn()
+
+
 def free_addresses(count):
     """Return ``count`` free loopback addresses as ``IP:PORT``.
 
-    All ports are held until the last is found, so that none comes twice.
+    No later call returns them again before all other ports had their turn.
     """
-    ports = random.sample(PORTS, len(PORTS))
-    with contextlib.ExitStack() as stack:
-        free = (port for port in ports if _hold(stack, port))
-        return [f"{LOOPBACK}:{port}" for port in itertools.islice(free, count)]
-
-
-def _hold(stack, port):
-    held = stack.enter_context(socket.socket())
-    try:
-        held.bind((LOOPBACK, port))
-    except OSError:
-        return False
+    free = (port for port in _ports if _is_free(port))
+    return [f"{LOOPBACK}:{port}" for port in itertools.islice(free, count)]
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
     return True
 
 
--- /dev/null
+++ b/src/waxwinghold_bench/target_standins.py
@@ -0,0 +1,111 @@
+"""The stand-ins behind a fleet's targets: processes of their own, or groups."""
+
+from .places import free_addresses
+
+STANDINS = {"model": "engine", "plain": "service"}
+
+
+class TargetStandIns:
+    """Starts, kills and replaces what stands behind each target.
+
+    With ``lock_step``, the targets of a group are ranks of one process, which
+    step together or not at all; the others have a process each.
+
+    Args:
+        sheet: The sheet, in plain types.
+        places: The agents' places, by target.
+        options: Options of the stand-ins, by the service's kind.
+        lock_step: Whether groups run in lock-step.
+        fleet: Starts child processes and has a session for calls.
+    """
+
+    def __init__(self, *, sheet, places, options, lock_step, fleet):
+        self._rows = {row["name"]: row for row in sheet["targets"]}
+        self._kinds = {row["name"]: row["kind"] for row in sheet["services"]}
+        self._places = places
+        self._options = options
+        self._fleet = fleet
+        self._groups = _groups(sheet) if lock_step else {}
+        self._controls = {}
+
+    def start_all(self):
+        """Start every stand-in."""
+        for group, targets in self._groups.items():
+            self._start_group(group, targets)
+        for target in self._rows:
+            if self._group_of(target) is None:
+                self._start_single(target)
+
+    async def kill(self, target):
+        """Kill what stands behind a target, at once."""
+        group = self._group_of(target)
+        if group is None:
+            self._fleet.children[_child_name(target)].kill()
+        else:
+            await self._change_rank(group, target, "kill")
+
+    async def replace(self, target):
+        """Start what was killed afresh; it has forgotten everything."""
+        group = self._group_of(target)
+        if group is None:
+            self._start_single(target)
+        else:
+            await self._change_rank(group, target, "replace")
+
+    def _group_of(self, target):
+        group = self._rows[target].get("group", "")
+        return group if group in self._groups else None
+
+    def _start_single(self, target):
+        row = self._rows[target]
+        kind = self._kinds[row["service"]]
+        options = dict(self._options[kind])
+        if kind == "model":
+            options |= _engine_options(row)
+        self._fleet.start_standin(
+            _child_name(target),
+            STANDINS[kind],
+            address=self._places[target].http_address,
+            **options,
+        )
+
+    def _start_group(self, group, targets):
+        control = free_addresses(1)[0]
+        self._controls[group] = f"http://{control}"
+        addresses = [self._places[target].http_address for target in targets]
+        options = self._options["model"] | _engine_options(self._rows[targets[0]])
+        self._fleet.start_standin(
+            _child_name(group),
+            "lock_step",
+            addresses=",".join(addresses),
+            control=control,
+            **options,
+        )
+
+    async def _change_rank(self, group, target, change):
+        place = self._groups[group].index(target)
+        url = f"{self._controls[group]}/ranks/{place}/{change}"
+        async with self._fleet.session.post(url) as response:
+            response.raise_for_status()
+
+
+def _child_name(name):
+    return f"{name}-standin"
+
+
+def _engine_options(row):
+    return {
+        "model_version": row["version"],
+        "adapters": ",".join(row.get("adapters", ())),
+        "checks_orders": row.get("checks_orders", True),
+        "slots_count": row.get("slots_count", 8),
+    }
+
+
+def _groups(sheet):
+    """Return the names of each group's targets, by group."""
+    groups = {}
+    for row in sheet["targets"]:
+        if row.get("group"):
+            groups.setdefault(row["group"], []).append(row["name"])
+    return groups
