Let the demonstration's drained entry be seen by the balancer first

Ruled out: a longer stream, which would only make the demonstration longer. Conclusion: the step no longer races with the notice.

--- a/src/waxwinghold_bench/demo.py
+++ b/src/waxwinghold_bench/demo.py
@@ -17,6 +17,8 @@
 
 ENTRIES_PER_DATA_CENTRE_COUNT = 3
 STEP_LIMIT_S = 20
+# The stream that is drained under way must outlast the notice.
+ENTRY_SETTINGS = {"drain_notice_ms": 500}
 ENGINE_OPTIONS = {"step_ms": 20, "prefill_ms": 5}
 
 
@@ -34,6 +36,7 @@
     fleet = Fleet(
         sheet=example.sheet(),
         entries_per_data_centre_count=ENTRIES_PER_DATA_CENTRE_COUNT,
+        entry_settings=ENTRY_SETTINGS,
         engine_options=ENGINE_OPTIONS,
         lock_step=lock_step,
     )
--- a/src/waxwinghold_bench/demo_steps.py
+++ b/src/waxwinghold_bench/demo_steps.py
@@ -15,6 +15,7 @@
 TOKENS_BEFORE_FAULT_COUNT = 20
 SENDINGS_COUNT = 3
 SERVICE_UNAVAILABLE = 503
+POLL_INTERVAL_S = 0.05
 
 STEPS = []
 
@@ -176,8 +177,9 @@
     async with scene.streaming(drained, LONG_TOKENS_COUNT) as stream:
         await stream.read(until_count=TOKENS_BEFORE_FAULT_COUNT)
         child.terminate()
-        refusal = await _refusal(scene, drained)
+        await _until_health_fails(scene, drained)
         elsewhere = await scene.ask(other)
+        refusal = await _refusal(scene, drained)
         await stream.read()
     status = await child.ended()
     whole = _wholeness(stream, scene.expected_text(LONG_TOKENS_COUNT))
@@ -193,9 +195,19 @@
     )
 
 
+async def _until_health_fails(scene, entry):
+    """Wait until the platform's balancer would send new calls elsewhere."""
+    while True:
+        async with scene.fleet.session.get(f"{entry.http_url}/health") as response:
+            if response.status == SERVICE_UNAVAILABLE:
+                return
+        await asyncio.sleep(POLL_INTERVAL_S)
+
+
 async def _refusal(scene, entry):
-    """Call until the entry refuses: the signal takes a moment to arrive."""
+    """Call until the entry refuses: it serves a while for late callers."""
     while True:
         answer = await scene.ask(entry, tokens_count=1)
         if answer.status == SERVICE_UNAVAILABLE:
             return answer
+        await asyncio.sleep(POLL_INTERVAL_S)
