--- /dev/null
+++ b/src/waxwinghold_bench/placement_bench.py
@@ -0,0 +1,191 @@
+"""Measures expert placement over a day and draws skew against moves.
+
+Run it with ``python -m waxwinghold_bench.placement_bench``.
+"""
+
+import math
+import pathlib
+import statistics
+import time
+from dataclasses import dataclass
+
+import fire
+import matplotlib
+
+from waxwinghold._policy import GroupShape, placement_policy, plan_skew
+from waxwinghold._policy.placement import normalised
+from waxwinghold._sheet.model import PlacementWeights
+from waxwinghold._tool.reports import text_table
+
+from .traces import expert_demand
+
+MINUTE_MS = 60_000.0
+NS_PER_MS = 1_000_000
+EXPERT_MIB = 12
+LOAD_MIB_PER_SECOND = 400
+SHAPES = (
+    GroupShape(ranks_count=16, places_count=5),
+    GroupShape(ranks_count=64, places_count=2),
+    GroupShape(ranks_count=64, places_count=3),
+)
+GUILD = PlacementWeights(skew_weight=10, move_weight=1, skew_limit=1.05)
+ARCHIVE = PlacementWeights(skew_weight=0.1, move_weight=5, skew_limit=1.25)
+BETWEEN = tuple(
+    PlacementWeights(skew_weight=weight, move_weight=1, skew_limit=limit)
+    for weight, limit in ((3, 1.08), (1, 1.15), (0.1, 1.4))
+)
+RUNS = (
+    ("static", "static", GUILD),
+    ("always anew", "replan_always", GUILD),
+    ("repair, Guild", "repair", GUILD),
+    ("repair, archive", "repair", ARCHIVE),
+    *((f"repair, limit {one.skew_limit}", "repair", one) for one in BETWEEN),
+)
+HEADERS = (
+    "ranks x places",
+    "planner",
+    "skew mean",
+    "p95",
+    "max",
+    "moves",
+    "loaded GiB",
+    "load s a rank",
+    "plans changed",
+    "plan ms p50",
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Day:
+    """What one planner did over a day.
+
+    Args:
+        skews: The skew a minute after each plan, sorted.
+        plan_ms: Time of each planning.
+    """
+
+    skews: tuple[float, ...]
+    moves_count: int
+    changes_count: int
+    plan_ms: tuple[float, ...]
+
+    @property
+    def mean(self):
+        """The mean skew."""
+        return statistics.mean(self.skews)
+
+    def percentile(self, percent):
+        """Return a percentile of the skew."""
+        return self.skews[min(len(self.skews) - 1, len(self.skews) * percent // 100)]
+
+
+def replay_day(name, *, shape, weights, trace):
+    """Return the ``Day`` of a planner that plans at each demand of ``trace``."""
+    policy = placement_policy.make(name)
+    current, moves_count, changes_count = None, 0, 0
+    skews, plan_ms = [], []
+    for minute, (demand, next_demand) in enumerate(zip(trace, trace[1:])):
+        start_ns = time.perf_counter_ns()
+        plan = policy.plan(
+            demand=demand,
+            shape=shape,
+            weights=weights,
+            current=current,
+            now_ms=minute * MINUTE_MS,
+        )
+        plan_ms.append((time.perf_counter_ns() - start_ns) / NS_PER_MS)
+        if current is not None and plan is not current:
+            moves_count += len(plan.moves)
+            changes_count += bool(plan.moves)
+        current = plan
+        skews.append(plan_skew(plan, demand=next_demand))
+    return Day(
+        skews=tuple(sorted(skews)),
+        moves_count=moves_count,
+        changes_count=changes_count,
+        plan_ms=tuple(sorted(plan_ms)),
+    )
+
+
+def least_moves(trace, *, shape, skew):
+    """Return a lower bound of the moves that keep every minute within ``skew``.
+
+    An expert needs so many copies that one of them fits a rank. Over a window
+    in which the needs come to more than the places, the difference was loaded.
+    """
+    places_count = shape.ranks_count * shape.places_count
+    bound, needs = 0, [0] * len(trace[0])
+    for demand in trace:
+        now = [
+            math.ceil(part * shape.ranks_count / skew) for part in normalised(demand)
+        ]
+        grown = [max(pair) for pair in zip(needs, now)]
+        excess = sum(grown) - places_count
+        if excess > 0:
+            bound += excess
+            grown = now
+        needs = grown
+    return bound
+
+
+def main(*, seed=1, minutes_count=1440, plot="docs/images/placement.png"):
+    """Print the table and write the plot.
+
+    Args:
+        seed: Fixes the day.
+        minutes_count: Plans over the day.
+        plot: Where the plot goes.
+    """
+    trace = expert_demand(seed=seed, minutes_count=minutes_count)
+    rows, points = [], {}
+    for shape in SHAPES:
+        for label, name, weights in RUNS:
+            day = replay_day(name, shape=shape, weights=weights, trace=trace)
+            points.setdefault(shape, []).append((label, day))
+            rows.append(_row(shape, label, day))
+    print(text_table(HEADERS, rows))
+    _draw(points, trace, pathlib.Path(plot))
+
+
+def _row(shape, label, day):
+    loaded_mib = day.moves_count * EXPERT_MIB
+    return (
+        f"{shape.ranks_count} x {shape.places_count}",
+        label,
+        f"{day.mean:.3f}",
+        f"{day.percentile(95):.3f}",
+        f"{day.skews[-1]:.3f}",
+        day.moves_count,
+        f"{loaded_mib / 1024:.1f}",
+        f"{loaded_mib / LOAD_MIB_PER_SECOND / shape.ranks_count:.0f}",
+        day.changes_count,
+        f"{statistics.median(day.plan_ms):.1f}",
+    )
+
+
+def _draw(points, trace, path):
+    matplotlib.use("Agg")
+    from matplotlib import pyplot
+
+    figure, panels = pyplot.subplots(1, len(points), figsize=(15, 5), sharey=True)
+    for panel, (shape, days) in zip(panels, points.items()):
+        for label, day in days:
+            panel.plot(day.moves_count + 1, day.percentile(95), "o", label=label)
+        skews = [1 + step / 50 for step in range(40)]
+        bounds = [least_moves(trace, shape=shape, skew=skew) + 1 for skew in skews]
+        panel.plot(bounds, skews, "k--", label="lower bound")
+        panel.set(
+            title=f"{shape.ranks_count} ranks x {shape.places_count} places",
+            xlabel="experts moved in a day, and one",
+            xscale="log",
+            ylim=(1.0, 2.0),
+        )
+    panels[0].set_ylabel("busiest rank over mean, 95th percentile")
+    panels[-1].legend(fontsize="small")
+    path.parent.mkdir(parents=True, exist_ok=True)
+    figure.tight_layout()
+    figure.savefig(path, dpi=80, metadata={"Software": None})
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
