Measure what customers see beside one that asks for too much

Cause: customers' isolation had no replay. Ruled out: a separate model; the agents' own queue is replayed.

--- a/src/waxwinghold_bench/policy_bench.py
+++ b/src/waxwinghold_bench/policy_bench.py
@@ -11,8 +11,23 @@
 from waxwinghold._tool.reports import text_table
 
 from .replay import Replay
-from .traces import SCENARIOS
+from .traces import BURST_CUSTOMER, SCENARIOS, Scenario
 
+ALONE = Scenario(name="alone", load_ratio=0.54, large_share=0.3)
+BESIDE = Scenario(
+    name="beside one at ten times its share",
+    load_ratio=ALONE.load_ratio,
+    large_share=ALONE.large_share,
+    burst_ratio=1.11,
+    burst_lasts=True,
+)
+CUSTOMER_HEADERS = (
+    "queue",
+    "seed",
+    "others",
+    "first token ms p95",
+    "whole answer ms p95",
+)
 HEADERS = (
     "trace",
     "policy",
@@ -40,7 +55,7 @@
 
 
 def main(*, seeds_count=3, duration_s=30):
-    """Print the table: means over the seeds.
+    """Print the table of the policies, means over the seeds, and the customers'.
 
     Args:
         seeds_count: Seeds for each trace and policy.
@@ -63,6 +78,24 @@
             cells += [f"{mean:.3f}" for mean in means[6:8]] + [f"{means[8]:.0f}"]
             rows.append((scenario.name, policy, *cells))
     print(text_table(HEADERS, rows))
+    print(text_table(CUSTOMER_HEADERS, list(_customer_rows(seeds_count, duration_s))))
+
+
+def _customer_rows(seeds_count, duration_s):
+    """Yield what the others see of a customer that asks for too much."""
+    for queue in ("fifo", "fair"):
+        for seed in range(seeds_count):
+            for scenario in (ALONE, BESIDE):
+                result = Replay(
+                    scenario=scenario,
+                    policy="weighed",
+                    seed=seed,
+                    duration_ms=duration_s * 1000.0,
+                    queue=queue,
+                ).run()
+                waits = result.others_ms(BURST_CUSTOMER, 95)
+                cells = [f"{wait_ms:.0f}" for wait_ms in waits]
+                yield (queue, seed, scenario.name, *cells)
 
 
 if __name__ == "__main__":
--- a/src/waxwinghold_bench/replay.py
+++ b/src/waxwinghold_bench/replay.py
@@ -7,15 +7,14 @@
 import heapq
 import itertools
 import random
-from collections import Counter, OrderedDict, deque
+from collections import Counter, OrderedDict, defaultdict, deque
 from dataclasses import dataclass, replace
 
-from hdrh.histogram import HdrHistogram
-
 from waxwinghold._agent.queueing import QUEUE_POLICIES, Waiting
 from waxwinghold._messages import Report
 from waxwinghold._policy import Candidate, ChoiceRequest, RetryBudget, choice_policy
 
+from .replay_result import ReplayResult, histogram, us
 from .traces import request_trace
 
 DATA_CENTRES = ("nadi", "lautoka", "sigatoka")
@@ -38,46 +37,10 @@
 PATIENCE_MS = 3000.0
 RETRY_RATIO = 0.1
 QUEUE_LIMIT_COUNT = 10_000
-HIGHEST_US = 120_000_000
-US_PER_MS = 1000
 PAUSE_START_RATIO = 0.4
 PAUSE_MS = 5000.0
 
 
-def _histogram():
-    return HdrHistogram(1, HIGHEST_US, 3)
-
-
-@dataclass(kw_only=True)
-class ReplayResult:
-    """What a replay saw; histograms are in microseconds."""
-
-    waits: HdrHistogram
-    first_tokens: HdrHistogram
-    busy_ms: Counter
-    hits_count: int = 0
-    started_count: int = 0
-    lost_count: int = 0
-
-    @property
-    def busiest_ratio(self):
-        """Work of the busiest target over the mean."""
-        return max(self.busy_ms.values()) * TARGETS_COUNT / self.busy_ms.total()
-
-    @property
-    def hits_ratio(self):
-        """Part of the requests that found their prefix cached."""
-        return self.hits_count / self.started_count
-
-    def wait_ms(self, percentile):
-        """Return a percentile of the wait in the queue."""
-        return self.waits.get_value_at_percentile(percentile) / US_PER_MS
-
-    def first_token_ms(self, percentile):
-        """Return a percentile of the time to the first token."""
-        return self.first_tokens.get_value_at_percentile(percentile) / US_PER_MS
-
-
 @dataclass(kw_only=True, eq=False)
 class _Request:
     """One arrival on its way."""
@@ -120,7 +83,10 @@
         self._seed = seed
         self.now_ms = 0.0
         self.result = ReplayResult(
-            waits=_histogram(), first_tokens=_histogram(), busy_ms=Counter()
+            waits=histogram(),
+            first_tokens=histogram(),
+            busy_ms=Counter(),
+            by_customer=defaultdict(lambda: (histogram(), histogram())),
         )
         self.targets = {
             target.name: target
@@ -349,8 +315,11 @@
         service_ms = prefill_ms + request.arrival.steps_count * step_ms
         self._last_wait_ms = now_ms - item.queued_ms
         first_ms = now_ms + prefill_ms + step_ms - request.arrival.at_ms
-        result.waits.record_value(_us(now_ms - request.arrival.at_ms))
-        result.first_tokens.record_value(_us(first_ms))
+        result.waits.record_value(us(now_ms - request.arrival.at_ms))
+        result.first_tokens.record_value(us(first_ms))
+        first_tokens, wholes = result.by_customer[request.arrival.customer]
+        first_tokens.record_value(us(first_ms))
+        wholes.record_value(us(now_ms + service_ms - request.arrival.at_ms))
         result.busy_ms[self.name] += service_ms
         result.hits_count += hit
         result.started_count += 1
@@ -370,7 +339,3 @@
         if not hit and self._rng.random() >= LOST_EVENTS_RATIO:
             self._events.append(prefix)
         return hit
-
-
-def _us(duration_ms):
-    return max(1, round(duration_ms * US_PER_MS))
--- a/src/waxwinghold_bench/traces.py
+++ b/src/waxwinghold_bench/traces.py
@@ -65,8 +65,9 @@
         steps_mean_count: Mean of the exponential length of answers.
         prefixes_count: Prompt prefixes in use, of Zipf popularity.
         large_share: Part of the traffic that three customers of ten bring.
-        burst_ratio: Extra traffic of one customer in the middle third, over
-            the usual traffic of all.
+        burst_ratio: Extra traffic of ``BURST_CUSTOMER`` over the usual traffic
+            of all, in the middle third.
+        burst_lasts: Whether the extra traffic lasts from start to end.
         slow_targets_count: Targets whose steps take three times as long.
         late_targets_count: Targets whose reports come four seconds late.
         pause: Whether half of the targets start nothing for five seconds.
@@ -78,11 +79,14 @@
     prefixes_count: int = 200
     large_share: float = 0.5
     burst_ratio: float = 0.0
+    burst_lasts: bool = False
     slow_targets_count: int = 0
     late_targets_count: int = 0
     pause: bool = False
 
 
+BURST_CUSTOMER = "customer-9"
+
 SCENARIOS = (
     Scenario(name="morning sizing", steps_mean_count=30.0, prefixes_count=60),
     Scenario(name="night care notes", load_ratio=0.5, steps_mean_count=120.0),
@@ -123,14 +127,14 @@
     arrivals = []
     now_ms = 0.0
     while True:
-        burst = duration_ms / 3 <= now_ms < 2 * duration_ms / 3
-        extra = scenario.burst_ratio if burst else 0.0
+        middle = duration_ms / 3 <= now_ms < 2 * duration_ms / 3
+        extra = scenario.burst_ratio if middle or scenario.burst_lasts else 0.0
         now_ms += rng.expovariate(rate_per_second * (1 + extra)) * 1000
         if now_ms >= duration_ms:
             return arrivals
         customer = rng.choices(customers, weights)[0]
         if rng.random() < extra / (1 + extra):
-            customer = customers[-1]
+            customer = BURST_CUSTOMER
         steps = rng.expovariate(1 / scenario.steps_mean_count)
         arrivals.append(
             Arrival(
