Judge other entries' unseen requests by where our own pile up

Cause: between reports the others' part of a target's load was taken as the usual one, so a target that had stopped starting work looked free. Ruled out: trusting old reports for longer (they make a herd).

--- a/src/waxwinghold/_policy/weighed.py
+++ b/src/waxwinghold/_policy/weighed.py
@@ -22,6 +22,7 @@
 TRUST_DECAY_MS = 300.0
 MEAN_SMOOTHING_RATIO = 0.02
 PREFIXES_LIMIT_COUNT = 4096
+EVEN_RATIO = 0.05
 HOME_SAVING_RATIO = 0.5
 
 
@@ -56,6 +57,7 @@
         self._away_penalty_ms = away_penalty_ms
         self._mean_steps_count = 0.0
         self._mean_others_ratio = 0.0
+        self._mean_own_ratio = 0.0
         self._mean_step_ms = 0.0
         self._lead_ratio = lead_ratio
         self._sent_work_ms = {}
@@ -146,7 +148,10 @@
 
     def _load(self, candidate, *, now_ms):
         """Return the requests that the candidate is expected to hold now."""
-        usual = self._mean_others_ratio * candidate.slots_count
+        own_ratio = candidate.local_in_flight_count / candidate.slots_count
+        # Other entries choose alike: where own requests pile up, theirs do.
+        likeness = (own_ratio + EVEN_RATIO) / (self._mean_own_ratio + EVEN_RATIO)
+        usual = self._mean_others_ratio * candidate.slots_count * likeness
         if candidate.report is None:
             return candidate.local_in_flight_count + usual
         trust = math.exp(-(now_ms - candidate.report_at_ms) / TRUST_DECAY_MS)
@@ -165,6 +170,9 @@
         self._mean_steps_count += MEAN_SMOOTHING_RATIO * change
 
     def _learn_others(self, candidate):
+        own_ratio = candidate.local_in_flight_count / candidate.slots_count
+        change = own_ratio - self._mean_own_ratio
+        self._mean_own_ratio += MEAN_SMOOTHING_RATIO * change
         if candidate.report is None:
             return
         ratio = others_count(candidate) / candidate.slots_count
