--- a/src/waxwinghold/_agent/process.py
+++ b/src/waxwinghold/_agent/process.py
@@ -23,6 +23,7 @@
     def __init__(self, *, clock, settings):
         super().__init__(clock=clock, settings=settings)
         self._index = None
+        self._last_kind = None
         self.queue = FairQueue(limit_count=settings.queue_limit_count)
         self.ledger = Ledger(clock=clock, limit_bytes=settings.ledger_limit_bytes)
         self.store.listen(self._sheet_changed)
@@ -44,6 +45,13 @@
         target = self.target
         return target and self._index.services[target.service].kind
 
+    def last_kind(self):
+        """Return the ``Kind`` as of the last sheet that named the target.
+
+        Requests in flight when a sheet drops the target still run as what it is.
+        """
+        return self._last_kind
+
     def slots_count(self):
         """Return how many requests the target may run at once."""
         target = self.target
@@ -83,7 +91,7 @@
             monitor=self.monitor,
             metrics=self.metrics,
             slots_count=self.slots_count,
-            kind=self.kind,
+            kind=self.last_kind,
         )
         self._desk = OrderDesk(
             url=self.settings.target_url, fencing=FencingNumbers(clock=self.clock)
@@ -129,6 +137,7 @@
 
     def _sheet_changed(self, old, new):
         self._index = index_sheet(new)
+        self._last_kind = self.kind() or self._last_kind
         if self.runner is not None:
             self.runner.wake()
             self.reconciler.wake()
--- a/tests/support/scene.py
+++ b/tests/support/scene.py
@@ -130,6 +130,7 @@
             if resumed.ok:
                 return resumed
         if outcome.status in (0, 200, 503):
+            # Cut short, or refused for now; a resumption that failed is both.
             return await self.resend()
         return outcome
 
--- a/tests/test_faults_matrix.py
+++ b/tests/test_faults_matrix.py
@@ -4,9 +4,12 @@
 import functools
 import itertools
 import unittest
+from unittest import mock
 
 import logbook
 
+from waxwinghold._entry import following
+
 from .support.fleet import TWO_ENGINES, TWO_WORKERS, Fleet
 from .support.matrix import FAULTS, KINDS, STEPS, cells, why_impossible
 from .support.scene import SETTLE_S, Scene
@@ -16,6 +19,8 @@
 GRACE_MS = 600
 WORKERS_FLEETS_COUNT = 4
 ENGINES_FLEETS_COUNT = 2
+# In the same proportion to the deadline as the product's bound to its own.
+STALL_LIMIT_MS = 400
 CELL_LIMIT_S = 25.0
 
 
@@ -131,7 +136,8 @@
 def run_matrix():
     """Run every cell that can happen; return the problems by cell."""
     possible = [cell for cell in cells() if not why_impossible(cell)]
-    with logbook.NullHandler().applicationbound():
+    stall = mock.patch.object(following, "STALL_LIMIT_MS", STALL_LIMIT_MS)
+    with logbook.NullHandler().applicationbound(), stall:
         return asyncio.run(_run_cells(possible))
 
 
