Add the protocol that keeps a group on one expert map

Ruled out: a quorum of agents (a rank outside it steps on the old map); a switch ordered ahead of its step (a restarted agent cannot see it); letting an engine go on as soon as it has switched (no proof of the others); leases in steps at the engine (a dead agent would stop its group). Found by the matrix on the way: a replaced engine kept the group waiting for a step that never came; switching it early would have mixed maps, so the term is given up and a new one begun.

--- a/src/waxwinghold/_messages/__init__.py
+++ b/src/waxwinghold/_messages/__init__.py
@@ -5,6 +5,17 @@
 from .._errors import WaxwingError
 from ._base import Message
 from .links import Heartbeat, Hello, Leaving, Report
+from .maps import (
+    MapBeat,
+    MapBeatReply,
+    MapClaim,
+    MapDenial,
+    MapGrant,
+    MapJoin,
+    MapJoinReply,
+    MapOrder,
+    MapOrderDone,
+)
 from .operators import (
     AuditQuery,
     AuditReply,
@@ -43,6 +54,15 @@
     "Leaving",
     "MalformedFrameError",
     "Message",
+    "MapBeat",
+    "MapBeatReply",
+    "MapClaim",
+    "MapDenial",
+    "MapGrant",
+    "MapJoin",
+    "MapJoinReply",
+    "MapOrder",
+    "MapOrderDone",
     "OrderReply",
     "Probe",
     "ProbeReply",
@@ -75,6 +95,15 @@
     | Heartbeat
     | Hello
     | Leaving
+    | MapBeat
+    | MapBeatReply
+    | MapClaim
+    | MapDenial
+    | MapGrant
+    | MapJoin
+    | MapJoinReply
+    | MapOrder
+    | MapOrderDone
     | OrderReply
     | Probe
     | ProbeReply
--- /dev/null
+++ b/tests/maps_matrix.py
@@ -0,0 +1,227 @@
+"""The fault matrix of a map change: every fault at every step."""
+
+import asyncio
+
+from map_fakes import World
+
+from waxwinghold import WaxwingError
+from waxwinghold._messages.maps import MapClaim, MapOrder, MapOrderDone, OrderKind
+
+LEADER, MEMBER, RIVAL = "b", "c", "a"
+NAMES = "abc"
+JOIN_MS = 2000
+FAULT_MS = 3000
+RECOVERY_MS = 9000
+AGAIN_AFTER_MS = 100
+# Orders of a change come in this sequence.
+LOAD_SEQUENCE, HOLD_SEQUENCE = 2, 4
+
+STEPS, FAULTS = {}, {}
+
+
+def _step(name):
+    def register(is_met):
+        STEPS[name] = is_met
+        return is_met
+
+    return register
+
+
+def _fault(name):
+    def register(bring_about):
+        FAULTS[name] = bring_about
+        return bring_about
+
+    return register
+
+
+def _is_order(process, what, detail, kind):
+    return isinstance(detail, MapOrder) and detail.kind == kind
+
+
+def _is_done(process, what, detail, sequence):
+    leads = process.name == LEADER and what == "received"
+    return leads and isinstance(detail, MapOrderDone) and detail.sequence == sequence
+
+
+@_step("weights loaded")
+def _loaded(process, what, detail):
+    return _is_done(process, what, detail, LOAD_SEQUENCE)
+
+
+@_step("prepare sent")
+def _prepare_sent(process, what, detail):
+    return what == "sent" and _is_order(process, what, detail, OrderKind.HOLD)
+
+
+@_step("granted")
+def _granted(process, what, detail):
+    return _is_done(process, what, detail, HOLD_SEQUENCE)
+
+
+@_step("commit sent")
+def _commit_sent(process, what, detail):
+    return what == "sent" and _is_order(process, what, detail, OrderKind.SWITCH)
+
+
+@_step("commit received")
+def _commit_received(process, what, detail):
+    at_member = process.name == MEMBER and what == "received"
+    return at_member and _is_order(process, what, detail, OrderKind.SWITCH)
+
+
+@_step("switched")
+def _switched(process, what, detail):
+    return process.name == MEMBER and what == "switch_map"
+
+
+@_step("old map dropped")
+def _dropped(process, what, detail):
+    return process.name == MEMBER and what == "drop_map"
+
+
+@_step("resumed")
+def _resumed(process, what, detail):
+    return process.name == MEMBER and what == "hold_before" and detail == (None,)
+
+
+@_fault("kill leader")
+def _kill_leader(world, leader, member):
+    leader.kill()
+    world.after(1000, world.start, leader.name)
+
+
+@_fault("kill member")
+def _kill_member(world, leader, member):
+    _kill_leader(world, member, member)
+
+
+@_fault("pause leader, wake late")
+def _pause_leader(world, leader, member):
+    leader.pause()
+    world.after(FAULT_MS, leader.wake)
+
+
+@_fault("pause member, wake late")
+def _pause_member(world, leader, member):
+    _pause_leader(world, member, member)
+
+
+@_fault("pause leader, replace, wake late")
+def _replace_paused_leader(world, leader, member):
+    _pause_leader(world, leader, member)
+    world.after(300, world.start, leader.name)
+
+
+@_fault("pause member, replace, wake late")
+def _replace_paused_member(world, leader, member):
+    _replace_paused_leader(world, member, member)
+
+
+def _wire(world, fate, duration_ms):
+    world.fate = fate
+    world.after(duration_ms, setattr, world, "fate", None)
+
+
+@_fault("lose")
+def _lose(world, leader, member):
+    _wire(world, lambda: [], 400)
+
+
+@_fault("double")
+def _double(world, leader, member):
+    _wire(world, lambda: [0.0, 300.0], FAULT_MS)
+
+
+@_fault("delay and reorder")
+def _delay(world, leader, member):
+    _wire(world, lambda: [world.random.choice([0, 1, 50, 700, 1500])], FAULT_MS)
+
+
+def _cut(world, *ends):
+    world.cuts.add(ends)
+    world.after(FAULT_MS, world.cuts.discard, ends)
+
+
+@_fault("cut leader to member")
+def _cut_to(world, leader, member):
+    _cut(world, leader.name, member.name)
+
+
+@_fault("cut member to leader")
+def _cut_from(world, leader, member):
+    _cut(world, member.name, leader.name)
+
+
+@_fault("cut engine to member")
+def _cut_engine(world, leader, member):
+    _cut(world, "engine", member.name)
+
+
+@_fault("replace the rank's engine")
+def _replace_engine(world, leader, member):
+    world.replace_engine(member.name)
+
+
+@_fault("replace rank and agent")
+def _replace_rank(world, leader, member):
+    world.replace_engine(member.name)
+    member.kill()
+    world.after(500, world.start, member.name)
+
+
+@_fault("two leaders race")
+def _race(world, leader, member):
+    rival = world.current[RIVAL]
+    rival.spawn(rival.keeper._lead(world.new_map("rival")))
+
+
+class _Trigger:
+    """Brings a fault about as a step is met, and again in the recovery."""
+
+    def __init__(self, *, world, step, fault, again):
+        self._world, self._is_met, self._fault = world, STEPS[step], FAULTS[fault]
+        self._again = again
+        self.met_ms = None
+
+    def __call__(self, process, what, detail):
+        now_ms = self._world.loop.time() * 1000
+        if self.met_ms is None:
+            if self._is_met(process, what, detail):
+                self.met_ms = now_ms
+                self._bring_about(LEADER)
+        elif self._again and now_ms > self.met_ms + AGAIN_AFTER_MS:
+            if what == "sent" and isinstance(detail, MapClaim):
+                self._again = False
+                self._bring_about(process.name)
+
+    def _bring_about(self, leader):
+        current = self._world.current
+        member = MEMBER if leader != MEMBER else LEADER
+        self._fault(self._world, current[leader], current[member])
+
+
+async def change(world, name, map_id):
+    """Have an agent lead to a map; a change that is given up is no fault."""
+    try:
+        await world.current[name].keeper.change_to(world.new_map(map_id))
+    except WaxwingError:
+        pass
+
+
+async def run_cell(*, step, fault, checks_orders, again):
+    """Run one cell; return the world as it was left and if the step was met."""
+    world = World(names=NAMES, seed=7, checks_orders=checks_orders)
+    await world.sleep_ms(JOIN_MS)
+    world.stall_ms = 0.0
+    trigger = _Trigger(world=world, step=step, fault=fault, again=again)
+    world.on_event = trigger
+    task = world.current[LEADER].spawn(change(world, LEADER, "m1"))
+    await world.sleep_ms(FAULT_MS + RECOVERY_MS)
+    before = world.step
+    await world.sleep_ms(1000)
+    world.recovered = world.step - before >= 40 and len(world.maps_in_use()) == 1
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await world.close()
+    return world, trigger.met_ms is not None
--- /dev/null
+++ b/tests/test_maps.py
@@ -0,0 +1,186 @@
+"""Ranks of a group never step on different maps, and the group recovers."""
+
+import random
+import unittest
+from unittest import mock
+
+import logbook
+from map_fakes import World, run_world
+from maps_matrix import (
+    FAULTS,
+    HOLD_SEQUENCE,
+    JOIN_MS,
+    LEADER,
+    MEMBER,
+    STEPS,
+    change,
+    run_cell,
+)
+
+from waxwinghold._agent._maps import member as member_module
+from waxwinghold._agent._maps.leader import Leader
+from waxwinghold._agent._maps.member import Member
+from waxwinghold._messages.maps import MapOrder, MapOrderDone, OrderKind
+
+CHAOS_SEEDS = range(40)
+
+
+class MajorityLeader(Leader):
+    """Goes on once most agents have answered: the naive version of a leader."""
+
+    async def _ask_all(self, kind, expert_map=None, *, step=None, limit_ms=None):
+        self._order_all(kind, expert_map, step)
+        minority_count = (len(self._peers) - 1) // 2
+        while True:
+            self._check()
+            for name in self._peers:
+                self._ask(name)
+            await self._wait_news(self._timing.retry_ms)
+            done = [p for p in self._peers.values() if p.done and not p.done.reason]
+            if len(done) >= len(self._peers) - minority_count:
+                return
+
+
+class KeepingMember(Member):
+    """Leaves old maps loaded, so that a late order still finds them."""
+
+    async def _drop_others(self, order, expert_map):
+        return await self.engine.read_map()
+
+
+async def resume_unproved(member, order):
+    """Let the engine go on with whatever map it is on."""
+    await member.engine.hold_before(None)
+    member._adopt(order, order.expert_map)
+
+
+def naive(**classes):
+    """Put naive classes in the place of the leader or the member."""
+    return mock.patch.multiple("waxwinghold._agent._maps.keeper", **classes)
+
+
+async def late_order_scenario():
+    """A switch goes out from an agent that was frozen, given up and replaced."""
+    world = World(names="abc")
+    await world.sleep_ms(JOIN_MS)
+    old = world.current[MEMBER]
+
+    def on_event(process, what, detail):
+        if process is old and what == "switch_map":
+            old.pause()
+        elif what == "received" and isinstance(detail, MapOrderDone):
+            if detail.sequence == HOLD_SEQUENCE:
+                world.cuts.add((LEADER, "a"))
+        elif what == "sent" and isinstance(detail, MapOrder):
+            is_last = detail.incarnation == old.keeper.member.incarnation
+            if detail.kind == OrderKind.SWITCH and is_last:
+                # Only the member will ever know of the switch.
+                process.kill()
+
+    world.on_event = on_event
+    world.current[LEADER].spawn(change(world, LEADER, "m1"))
+    await world.sleep_ms(1000)
+    world.on_event = None
+    world.cuts.clear()
+    world.start(MEMBER)
+    world.start(LEADER)
+    await world.sleep_ms(6000)
+    maps = world.maps_in_use()
+    old.wake()
+    await world.sleep_ms(4000)
+    await world.close()
+    return world, maps
+
+
+async def chaos_scenario(seed):
+    """Bring several faults about at any moment while maps change all the time."""
+    world = World(names="abc", seed=seed, checks_orders=bool(seed % 2))
+    await world.sleep_ms(JOIN_MS)
+    choose = random.Random(seed)
+    for number in range(6):
+        name = choose.choice("abc")
+        world.current[name].spawn(change(world, name, f"m{number}"))
+        for _ in range(choose.randrange(3)):
+            await world.sleep_ms(choose.choice([1, 5, 50, 210, 300]))
+            fault = FAULTS[choose.choice(sorted(FAULTS))]
+            leader, member = choose.sample("abc", 2)
+            fault(world, world.current[leader], world.current[member])
+        await world.sleep_ms(choose.choice([300, 1500, 4000]))
+    await world.sleep_ms(12_000)
+    before = world.step
+    await world.sleep_ms(1000)
+    world.recovered = world.step - before >= 40 and len(world.maps_in_use()) == 1
+    await world.close()
+    return world
+
+
+def run_matrix(*, again=False, checks_orders=False):
+    """Yield each cell's name and outcome."""
+    for step in STEPS:
+        for fault in FAULTS:
+            cell = {"step": step, "fault": fault, "checks_orders": checks_orders}
+            yield cell, *run_world(lambda: run_cell(again=again, **cell))
+
+
+class MapTests(unittest.TestCase):
+    def setUp(self):
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+
+    def _check_matrix(self, **kind):
+        bad = [
+            (cell, is_met, world.mixed_count, world.recovered)
+            for cell, world, is_met in run_matrix(**kind)
+            if not is_met or world.mixed_count or not world.recovered
+        ]
+        self.assertEqual(bad, [])
+
+    def test_each_fault_at_each_step(self):
+        self._check_matrix(checks_orders=False)
+
+    def test_each_fault_at_each_step_with_engines_that_check(self):
+        self._check_matrix(checks_orders=True)
+
+    def test_each_fault_at_each_step_and_again_in_recovery(self):
+        self._check_matrix(checks_orders=False, again=True)
+
+    def test_a_leader_content_with_a_majority_is_caught_by_the_matrix(self):
+        with naive(Leader=MajorityLeader):
+            caught = any(world.mixed_count for _, world, _ in run_matrix())
+        self.assertTrue(caught)
+
+    def test_a_member_that_resumes_unproved_is_caught_by_chance_faults(self):
+        procedures = {OrderKind.RESUME: resume_unproved}
+        with mock.patch.dict(member_module._PROCEDURES, procedures):
+            worlds = [run_world(lambda: chaos_scenario(seed)) for seed in (0, 16)]
+        self.assertTrue(all(world.mixed_count for world in worlds))
+
+    def test_a_late_switch_finds_its_map_gone(self):
+        world, maps = run_world(late_order_scenario)
+        self.assertEqual((world.mixed_count, maps), (0, {"m0"}))
+
+    def test_a_late_switch_is_caught_where_old_maps_stay_loaded(self):
+        with naive(Member=KeepingMember):
+            world, _ = run_world(late_order_scenario)
+        self.assertGreater(world.mixed_count, 0)
+
+    def test_faults_at_any_moment(self):
+        worlds = {seed: run_world(lambda: chaos_scenario(seed)) for seed in CHAOS_SEEDS}
+        bad = [
+            (seed, world.mixed_count, world.recovered)
+            for seed, world in worlds.items()
+            if world.mixed_count or not world.recovered
+        ]
+        self.assertEqual(bad, [])
+
+    def test_a_group_without_any_map_starts_on_a_planned_one(self):
+        async def scenario():
+            world = World(names="abc", map_id="")
+            await world.sleep_ms(5000)
+            await world.close()
+            return world
+
+        world = run_world(scenario)
+        self.assertGreater(world.step, 50)
+        self.assertEqual(world.mixed_count, 0)
