--- a/src/waxwinghold/_links/client.py
+++ b/src/waxwinghold/_links/client.py
@@ -1,6 +1,7 @@
 """The connecting side of a link: heartbeats, silence, replacement."""
 
 import asyncio
+import contextlib
 
 import logbook
 import zmq
@@ -8,6 +9,7 @@
 from zmq.utils.monitor import recv_monitor_message
 
 from .._messages import (
+    FRAME_LIMIT_BYTES,
     Heartbeat,
     Hello,
     Leaving,
@@ -20,10 +22,16 @@
 
 log = logbook.Logger("links")
 
-FRAME_LIMIT_BYTES = 4 * 1024 * 1024
 RECONNECT_INTERVAL_MS = 250
 NO_RECONNECT = -1
 OFFSETS_KEPT_COUNT = 8
+CONNECTION_ENDED_EVENTS = (
+    zmq.EVENT_DISCONNECTED
+    | zmq.EVENT_CLOSED
+    | zmq.EVENT_CONNECT_RETRIED
+    | zmq.EVENT_HANDSHAKE_FAILED_AUTH
+    | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
+)
 
 
 class Link:
@@ -60,6 +68,7 @@
         self._sequence = 0
         self._echoed = 0
         self._offsets_ms = []
+        self._beat_now = asyncio.Event()
 
     @property
     def up(self):
@@ -90,6 +99,10 @@
         future = self._socket.send(encode(message))
         future.add_done_callback(_consume_error)
 
+    def beat(self):
+        """Send a heartbeat at once: there is news in it."""
+        self._beat_now.set()
+
     async def run(self):
         """Keep the link up until cancelled."""
         try:
@@ -101,8 +114,8 @@
 
     async def _run_connection(self):
         """Open a connection, use it until it fails, and replace it if silent."""
-        socket = self._open()
-        watcher = asyncio.create_task(_wait_for_disconnect(socket))
+        socket, monitor = self._open()
+        watcher = asyncio.create_task(recv_monitor_message(monitor))
         reader = asyncio.create_task(self._read(socket))
         beater = asyncio.create_task(self._beat(socket))
         try:
@@ -115,6 +128,8 @@
         finally:
             for task in (watcher, reader, beater):
                 task.cancel()
+            # A reader that still waits must not find its socket closed.
+            await asyncio.gather(watcher, reader, beater, return_exceptions=True)
             if self._socket is socket:
                 self._drop()
             socket.disable_monitor()
@@ -127,9 +142,11 @@
         socket.reconnect_ivl = NO_RECONNECT
         socket.sndhwm = 0
         secure_client(socket, self._settings, self.public_key)
+        # Before connecting: a refused connection is reported at once.
+        monitor = socket.get_monitor_socket(CONNECTION_ENDED_EVENTS)
         socket.connect(self.address)
         socket.send(encode(self._presence.hello()))
-        return socket
+        return socket, monitor
 
     def _drop(self):
         if self._socket is None:
@@ -142,22 +159,30 @@
         limit_s = self._settings.silence_limit_ms / 1000
         while True:
             try:
-                frame = await asyncio.wait_for(socket.recv(), limit_s)
+                async with asyncio.timeout(limit_s):
+                    frames = await socket.recv_multipart()
             except TimeoutError:
                 return
             self.heard_ms = self._clock.now_ms()
-            try:
-                message = decode(frame)
-            except MalformedFrameError as error:
-                log.warn('link: frame of "{}" dropped: {}', self.name, error)
-                continue
-            if isinstance(message, Hello):
-                if self._socket is socket:
-                    # The peer has lost this connection's state: open a new one.
+            for frame in frames:
+                if not self._take_frame(socket, frame):
                     return
-                self._greeted(socket, message)
-            elif self._socket is socket:
-                self._handle(message)
+
+    def _take_frame(self, socket, frame):
+        """Handle one frame; return whether the connection can go on."""
+        try:
+            message = decode(frame)
+        except MalformedFrameError as error:
+            log.warn('link: frame of "{}" dropped: {}', self.name, error)
+            return True
+        if isinstance(message, Hello):
+            if self._socket is socket:
+                # The peer has lost this connection's state: open a new one.
+                return False
+            self._greeted(socket, message)
+        elif self._socket is socket:
+            self._handle(message)
+        return True
 
     def _greeted(self, socket, hello):
         if hello.name != self.name:
@@ -190,8 +215,12 @@
         del self._offsets_ms[:-OFFSETS_KEPT_COUNT]
 
     async def _beat(self, socket):
+        interval_s = self._settings.heartbeat_interval_ms / 1000
         while True:
-            await self._clock.sleep_ms(self._settings.heartbeat_interval_ms)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(interval_s):
+                    await self._beat_now.wait()
+            self._beat_now.clear()
             self._sequence += 1
             heartbeat = self._presence.heartbeat(
                 sequence=self._sequence, echo_sequence=self._echoed
@@ -199,19 +228,6 @@
             await socket.send(encode(heartbeat))
 
 
-async def _wait_for_disconnect(socket):
-    """Return when the socket's one connection has closed or could not open."""
-    events = (
-        zmq.EVENT_DISCONNECTED
-        | zmq.EVENT_CLOSED
-        | zmq.EVENT_CONNECT_RETRIED
-        | zmq.EVENT_HANDSHAKE_FAILED_AUTH
-        | zmq.EVENT_HANDSHAKE_FAILED_PROTOCOL
-    )
-    monitor = socket.get_monitor_socket(events)
-    await recv_monitor_message(monitor)
-
-
 def _consume_error(future):
     if not future.cancelled():
         future.exception()
--- a/src/waxwinghold_standins/engine.py
+++ b/src/waxwinghold_standins/engine.py
@@ -3,11 +3,13 @@
 import fire
 import msgspec
 from aiohttp import web
+from fire.decorators import SetParseFns
 
 from ._engine_control import ControlRoutes
 from ._faults import bad_request, json_answer, read_json
 from ._generation import Generation
 from ._http import HttpStandIn, abort, run_until_ended
+from ._loading import WeightLoader
 from ._orders import OrderDesk
 from ._rank import Rank
 from ._steps import Steps
@@ -31,8 +33,7 @@
 
     Args:
         checks_orders: Whether orders with an old fencing number are refused.
-        load_model_ms: Time to load a model version.
-        load_expert_ms: Time to load one expert.
+        loading: Options of ``WeightLoader``.
         steps: Steps shared with other ranks; by default the engine's own.
         rank_options: Options of ``Rank``.
     """
@@ -41,8 +42,7 @@
         self,
         *,
         checks_orders=True,
-        load_model_ms=0.0,
-        load_expert_ms=0.0,
+        loading=None,
         steps=None,
         clock=None,
         exits_on_crash=False,
@@ -55,13 +55,17 @@
         self.steps = steps or Steps(ranks=[self.rank], clock=self.clock)
         self.desk = OrderDesk(
             rank=self.rank,
-            clock=self.clock,
+            loader=WeightLoader(clock=self.clock, **loading or {}),
             wake=self.steps.wake,
             checks_orders=checks_orders,
-            load_model_ms=load_model_ms,
-            load_expert_ms=load_expert_ms,
         )
 
+    async def crash(self):
+        """End at once; a lock-step group cannot step without this rank."""
+        if not self._exits_on_crash:
+            self.steps.lose(self.rank)
+        await super().crash()
+
     async def start(self, **address):
         await super().start(**address)
         if self._owns_steps:
@@ -90,7 +94,7 @@
             raise bad_request(f'adapter "{generation.adapter}" is not loaded')
         marker = self.rank.faults.crash_marker
         if marker and marker in generation.prompt:
-            self.crash()
+            await self.crash()
             raise ConnectionResetError("crashed")
         request_id = generation.request_id
         known = self.rank.generations.get(request_id)
@@ -184,20 +188,21 @@
     return Generation(**values)
 
 
-def serve(*, address, model_version="v1", adapters=(), **options):
+@SetParseFns(address=str, model_version=str, adapters=str)
+def serve(*, address, model_version="v1", adapters="", **options):
     """Serve a model engine until SIGTERM.
 
     Args:
         address: ``IP:PORT`` to serve on.
         model_version: The model version at the start.
         adapters: Adapters loaded at the start, separated by commas.
-        options: Options of ``Engine`` and ``Rank``, such as ``--step_ms 20``.
+        options: Options of ``Engine`` and ``Rank``, such as ``--step_ms 20`` or
+            ``--loading '{"load_expert_ms": 5}'``.
             Reports and cache events lag unless told otherwise.
     """
-    names = adapters.split(",") if isinstance(adapters, str) else adapters
     engine = Engine(
-        version=str(model_version),
-        adapters=[str(name) for name in names],
+        version=model_version,
+        adapters=[name for name in adapters.split(",") if name],
         exits_on_crash=True,
         **LAGGING | options,
     )
--- /dev/null
+++ b/tests/test_tool_fleet.py
@@ -0,0 +1,86 @@
+"""The tool asks and drains a running process over a link."""
+
+import asyncio
+import unittest
+
+from waxwinghold._settings import KnownKey
+from waxwinghold._tool.asking import UnreachableError
+from waxwinghold._tool.fleet import (
+    UnknownProcessError,
+    audit_report,
+    drain_report,
+    status_report,
+)
+from waxwinghold._tool.settings import KnownProcess, OperatorSettings
+
+from .entry_builder import Place, free_port, make_keys, start_entry
+from .sheet_builder import make_sheet
+
+TEST_LIMIT_S = 10
+
+
+class FleetTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.operator_keys = make_keys()
+        operator = KnownKey(
+            name="mere", role="operator", public_key=self.operator_keys[0]
+        )
+        place = Place(name="entry-1", data_centre="nadi")
+        self.dead_port = free_port()
+        self.known = KnownProcess(
+            name=place.name, address=place.address, public_key=place.keys[0]
+        )
+        self.process, self.task = start_entry(
+            self, place, f"http://127.0.0.1:{self.dead_port}", known_keys=(operator,)
+        )
+
+    def operator(self, *processes, keys=None, limit_ms=3000):
+        public, secret = keys or self.operator_keys
+        return OperatorSettings(
+            name="mere",
+            link_public_key=public,
+            link_secret_key=secret,
+            processes=processes or (self.known,),
+            answer_limit_ms=limit_ms,
+        )
+
+    async def test_status_and_audit_come_from_the_process(self):
+        self.process.store.offer(make_sheet(4, targets=()), "platform")
+        report = await status_report(self.operator())
+        self.assertEqual(report.status, 0)
+        self.assertEqual(report.data["processes"][0]["name"], "entry-1")
+        report = await audit_report(self.operator(), since_ms=0)
+        entry = report.data["entries"][0]
+        self.assertEqual((entry.what, entry.process), ("sheet.refused", "entry-1"))
+        self.assertIn("sheet.refused", report.text)
+
+    async def test_a_drained_process_ends_and_its_trail_names_the_operator(self):
+        report = await drain_report(
+            self.operator(), process="entry-1", reason="host is replaced"
+        )
+        self.assertTrue(report.data["accepted"])
+        async with asyncio.timeout(TEST_LIMIT_S):
+            await self.task
+        entry = self.process.audit.since(0)[-1]
+        self.assertEqual((entry.by, entry.reason), ("mere", "host is replaced"))
+
+    async def test_a_process_that_is_not_there_is_reported_beside_the_others(self):
+        dead = KnownProcess(
+            name="entry-2",
+            address=f"tcp://127.0.0.1:{self.dead_port}",
+            public_key=self.known.public_key,
+        )
+        report = await status_report(self.operator(self.known, dead, limit_ms=1000))
+        self.assertEqual(report.status, 6)
+        self.assertEqual(report.data["unreachable"], ["entry-2"])
+        self.assertEqual(len(report.data["processes"]), 1)
+
+    async def test_an_unknown_key_gets_nothing(self):
+        settings = self.operator(keys=make_keys(), limit_ms=800)
+        with self.assertRaises(UnreachableError):
+            await drain_report(settings, process="entry-1", reason="mischief")
+        self.assertFalse(self.process.leaving)
+
+    async def test_a_process_outside_the_settings_is_refused(self):
+        with self.assertRaises(UnknownProcessError):
+            await drain_report(self.operator(), process="entry-9", reason="typing")
