Order map changes over HTTP and prove one on the stand-in group

Cause: the protocol ran on fakes only. Ruled out: classes of errors of its own beside those of the order desk.

--- a/src/waxwinghold/_agent/_maps/engine.py
+++ b/src/waxwinghold/_agent/_maps/engine.py
@@ -1,29 +1,19 @@
-"""What the protocol needs of an engine."""
+"""What the protocol needs of an engine, and the orders that bring it about."""
 
 import typing
 
-from ..._errors import WaxwingError
 from ..._messages.maps import EngineMap
+from ..orders import EngineUnreachableError
 
-
-class EngineRefusedError(WaxwingError):
-    """The engine refused an order: it was not applied."""
-
-    code = "engine_refused"
-
-
-class EngineUnreachableError(WaxwingError):
-    """The engine did not answer: an order may have been applied or not."""
-
-    code = "engine_unreachable"
+MAP_PATH = "/map"
 
 
 class EngineOrders(typing.Protocol):
-    """Orders to the engine beside an agent, one at a time.
+    """Orders to the engine beside an agent.
 
-    Each order carries a rising fencing number. All methods raise
-    ``EngineRefusedError``, ``EngineUnreachableError`` or ``SupersededError``,
-    and each ends within a time limit.
+    Each order carries a rising fencing number and ends within a time limit;
+    one that fails raises a ``WaxwingError``, and ``SupersededError`` where a
+    newer agent gives orders to the engine.
     """
 
     async def read_map(self) -> EngineMap:
@@ -40,3 +30,43 @@
 
     async def drop_map(self, map_id: str) -> None:
         """Free a map that is not in use."""
+
+
+class DeskEngine:
+    """The engine behind an ``OrderDesk``."""
+
+    def __init__(self, *, desk):
+        self._desk = desk
+
+    async def read_map(self):
+        """Return the engine's own word on its maps.
+
+        Raises:
+            EngineUnreachableError: There was no answer of that shape.
+        """
+        document = await self._desk.read(MAP_PATH)
+        try:
+            return EngineMap(
+                map_id=document["map_id"],
+                step=document["step"],
+                hold_before=document["hold_before"],
+                loaded=tuple(document["loaded"]),
+            )
+        except (KeyError, TypeError) as error:
+            raise EngineUnreachableError(path=MAP_PATH, cause=error) from error
+
+    async def hold_before(self, step):
+        """Let no step from ``step`` on begin; ``None`` ends the hold."""
+        await self._desk.order("hold_before", step=step)
+
+    async def load_experts(self, map_id, experts):
+        """Begin to load experts."""
+        await self._desk.order("load_experts", map_id=map_id, experts=list(experts))
+
+    async def switch_map(self, map_id, step):
+        """Use a loaded map from ``step`` on."""
+        await self._desk.order("switch_map", map_id=map_id, step=step)
+
+    async def drop_map(self, map_id):
+        """Free a map that is not in use."""
+        await self._desk.order("drop_map", map_id=map_id)
--- a/tests/map_fakes.py
+++ b/tests/map_fakes.py
@@ -5,12 +5,9 @@
 from dataclasses import dataclass
 
 from waxwinghold import Clock
-from waxwinghold._agent._maps import (
-    EngineRefusedError,
-    EngineUnreachableError,
-    GroupKeeper,
-)
+from waxwinghold._agent._maps import GroupKeeper
 from waxwinghold._agent.fencing import FencingNumbers
+from waxwinghold._agent.orders import EngineUnreachableError, OrderRefusedError
 from waxwinghold._messages.maps import EngineMap, ExpertMap
 
 STEP_MS = 20.0
@@ -92,7 +89,7 @@
         await self.process.clock.sleep_ms(ORDER_MS)
         engine = self.world.engines[self.process.name]
         if engine is None:
-            raise EngineUnreachableError("the engine is down")
+            raise EngineUnreachableError(path="/map", cause="down")
         return EngineMap(
             map_id=engine.map_id,
             step=self.world.step,
@@ -127,13 +124,13 @@
             ("engine", self.process.name) in self.world.cuts
         ):
             await self.process.clock.sleep_ms(ORDER_LIMIT_MS)
-            raise EngineUnreachableError("no answer from the engine")
+            raise EngineUnreachableError(path="/orders", cause="silent")
         refused = await outcome
         await self.process.clock.sleep_ms(ORDER_MS)
         if isinstance(refused, int):
             self.numbers.note_refused(fence=fence, told_fence=refused)
         if refused is not None:
-            raise EngineRefusedError(str(refused))
+            raise OrderRefusedError(order=kind, status=422, reason=refused)
         self.numbers.note_accepted()
 
     def _arrive(self, outcome, fence, kind, args):
--- /dev/null
+++ b/tests/test_maps_engine.py
@@ -0,0 +1,65 @@
+"""A change of map over HTTP, on the stand-in of a lock-step group."""
+
+import asyncio
+import unittest
+
+from waxwinghold import Clock
+from waxwinghold._agent._maps import DeskEngine, GroupKeeper, MapTiming
+from waxwinghold._agent.fencing import FencingNumbers
+from waxwinghold._agent.orders import OrderDesk
+from waxwinghold._messages.maps import ExpertMap
+from waxwinghold_standins.lock_step import LockStepGroup
+
+NAMES = ("a", "b", "c")
+
+
+class MapEngineTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.group = LockStepGroup(ranks_count=len(NAMES), step_ms=5.0)
+        urls = await self.enterAsyncContext(self.group.serving())
+        self.keepers = {
+            name: self._keeper(name, url) for name, url in zip(NAMES, urls, strict=True)
+        }
+        for keeper in self.keepers.values():
+            task = asyncio.create_task(keeper.run())
+            self.addCleanup(task.cancel)
+        await self.until(lambda: all(k.joined for k in self.keepers.values()))
+
+    def _keeper(self, name, url):
+        clock = Clock()
+        desk = OrderDesk(url=url, fencing=FencingNumbers(clock=clock))
+        self.addAsyncCleanup(desk.close)
+        return GroupKeeper(
+            name=name,
+            group="g",
+            members=NAMES,
+            incarnation=1,
+            engine=DeskEngine(desk=desk),
+            send=lambda to, message: self.keepers[to].on_message(name, message),
+            clock=clock,
+            timing=MapTiming(lease_ms=200.0, beat_ms=50.0, claim_after_ms=300.0),
+            plan=self._plan,
+        )
+
+    async def _plan(self):
+        return self._map("planned")
+
+    def _map(self, map_id):
+        return ExpertMap(map_id=map_id, experts={name: ("0/1",) for name in NAMES})
+
+    async def until(self, condition):
+        async with asyncio.timeout(10):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    async def test_the_group_changes_together_and_outlives_a_replaced_rank(self):
+        changed = await self.keepers["b"].change_to(self._map("m1"))
+        step = self.group.steps.step
+        await self.until(lambda: self.group.steps.step > step + 5)
+        await self.group.kill_rank(2)
+        await self.group.replace_rank(2)
+        step = self.group.steps.step
+        await self.until(lambda: self.group.steps.step > step + 5)
+        self.assertEqual(self.group.mixed_steps, [])
+        last = self.group.steps.records[-1]
+        self.assertEqual(set(last.map_ids), {changed.map_id})
