--- a/src/waxwinghold/_agent/_maps/keeper.py
+++ b/src/waxwinghold/_agent/_maps/keeper.py
@@ -20,10 +20,10 @@
 )
 from ..fencing import StaleTermError, SupersededError
 from .errors import MapBusyError, TermLostError
+from .incarnations import Incarnations
 from .leader import Leader
 from .member import Member
 from .timing import MapTiming
-from .waiting import wait_event
 
 log = logbook.Logger("waxwinghold.maps")
 
@@ -68,21 +68,25 @@
         jitter=random.random,
     ):
         self.members = tuple(sorted(members))
-        self.joined = False
-        self.retired = False
-        self._has_joined = False
-        self._starts_over = False
+        self.incarnations = Incarnations(
+            group=group,
+            number=incarnation,
+            others=[member for member in self.members if member != name],
+            send=self._send,
+            clock=clock,
+            timing=timing,
+            on_restart=self._on_restart,
+        )
         self.member = Member(
             name=name,
             group=group,
-            incarnation=incarnation,
+            incarnations=self.incarnations,
             engine=engine,
             clock=clock,
             timing=timing,
         )
         self._name = name
         self._group = group
-        self._incarnation = incarnation
         self._engine = engine
         self._send_out = send
         self._clock = clock
@@ -91,19 +95,18 @@
         self._jitter = jitter
         self._leader = None
         self._highest = Term()
-        self._newest = {}
-        self._join_replies = {}
-        self._news = asyncio.Event()
+        self._starts_over = False
         self._tasks = set()
 
     async def run(self):
         """Join the group, then watch the engine and the leader, until cancelled."""
         try:
-            while not self.retired:
-                await self._join()
+            while not self.incarnations.retired:
+                replies = await self.incarnations.join()
+                await self._settle_in(replies)
                 await self._watch()
         finally:
-            self.retired = True
+            self.incarnations.retire("it ends")
             for task in list(self._tasks):
                 task.cancel()
 
@@ -114,14 +117,14 @@
             MapBusyError: Another agent leads at the moment.
             TermLostError: The change was given up; the group settles by itself.
         """
-        if self._leader is not None or not self.joined or self._is_led():
+        if self._leader is not None or not self.incarnations.joined or self._is_led():
             raise MapBusyError(group=self._group, term=self.member.guard.granted)
         return await self._lead(expert_map)
 
     def on_message(self, name, message):
         """Take in a message from the agent ``name`` of the group."""
         handler = _HANDLERS.get(type(message))
-        if handler is None or message.group != self._group or self.retired:
+        if handler is None or message.group != self._group or self.incarnations.retired:
             return
         if name in self.members:
             handler(self, name, message)
@@ -138,30 +141,12 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
-    def _others(self):
-        return [name for name in self.members if name != self._name]
-
     def _is_led(self):
         if self.member.settled:
             return False
         silence_ms = self._clock.now_ms() - self.member.heard_ms
         return silence_ms < self._timing.lease_ms
 
-    async def _join(self):
-        """Have every other agent retire this agent's earlier incarnations."""
-        self._join_replies = {}
-        while missing := set(self._others()) - set(self._join_replies):
-            for name in sorted(missing):
-                message = MapJoin(group=self._group, incarnation=self._incarnation)
-                self._send(name, message)
-            await self._wait_news(self._timing.retry_ms)
-            if self.retired:
-                return
-        if not self._has_joined:
-            await self._clock.sleep_ms(self._timing.join_wait_ms)
-        self._adopt(await self._read_engine())
-        self.joined = self._has_joined = True
-
     async def _read_engine(self):
         """Return the engine's map; keep asking until it answers."""
         while True:
@@ -171,9 +156,13 @@
                 log.warn("engine cannot be read: {}", error)
                 await self._clock.sleep_ms(self._timing.retry_ms)
 
-    def _adopt(self, engine):
+    async def _settle_in(self, replies):
         """Take what the engine uses for settled if the group agrees."""
-        targets = [reply.target for reply in self._join_replies.values()]
+        if self.incarnations.retired:
+            return
+        engine = await self._read_engine()
+        self._highest = max([self._highest, *(reply.granted for reply in replies)])
+        targets = [reply.target for reply in replies]
         known = [target for target in targets if target is not None]
         agreed = all(target.map_id == engine.map_id for target in known)
         clean = engine.map_id and engine.is_clean_on(engine.map_id)
@@ -181,20 +170,17 @@
             self.member.target = known[0]
         self.member.settled = bool(agreed and clean and engine.hold_before is None)
         self.member.heard_ms = self._clock.now_ms()
-
-    async def _wait_news(self, timeout_ms):
-        self._news.clear()
-        await wait_event(self._news, self._clock, timeout_ms)
+        self.incarnations.joined = True
 
     async def _watch(self):
         """Look at the engine and the leader; return if this process was frozen."""
         looked_ms = self._clock.now_ms()
-        while not self.retired:
+        while not self.incarnations.retired:
             before_ms = self._clock.now_ms()
             await self._clock.sleep_ms(self._timing.beat_ms)
             now_ms = self._clock.now_ms()
             if now_ms - before_ms > self._timing.lease_ms:
-                self.joined = False
+                self.incarnations.joined = False
                 return
             if self.member.settled and now_ms - looked_ms >= self._timing.watch_ms:
                 looked_ms = now_ms
@@ -214,7 +200,7 @@
             elif engine.hold_before is not None or len(engine.loaded) != 1:
                 self.member.settled = False
         except SupersededError as error:
-            self._retire(str(error))
+            self.incarnations.retire(str(error))
         except WaxwingError as error:
             log.warn("engine cannot be read: {}", error)
 
@@ -238,7 +224,9 @@
 
     async def _lead(self, wanted=None):
         number = max(self._highest.number, self.member.guard.granted.number) + 1
-        term = Term(number=number, leader=self._name, incarnation=self._incarnation)
+        term = Term(
+            number=number, leader=self._name, incarnation=self.incarnations.number
+        )
         self._highest = max(self._highest, term)
         leader = self._leader = Leader(
             name=self._name,
@@ -258,15 +246,6 @@
         finally:
             self._leader = None
 
-    def _retire(self, reason):
-        """Act no more: a newer incarnation of this agent has taken over."""
-        log.error("group {}: this agent is out of date: {}", self._group, reason)
-        self.retired = True
-        self.joined = False
-        self._news.set()
-        if self._leader is not None:
-            self._leader.lose(reason)
-
     def _deny(self, name, incarnation, *, retired=False):
         denial = MapDenial(
             group=self._group,
@@ -276,55 +255,31 @@
         )
         self._send(name, denial)
 
+    def _on_restart(self, name):
+        if self._leader is not None:
+            self._leader.lose(f'agent "{name}" has restarted')
+
     @_handles(MapJoin)
     def _on_join(self, name, join):
-        newest = max(self._newest.get(name, 0), join.incarnation)
-        if newest > self._newest.get(name, 0):
-            self._newest[name] = newest
-            if self._leader is not None:
-                self._leader.lose(f'agent "{name}" has restarted')
-        reply = MapJoinReply(
-            group=self._group,
-            incarnation=join.incarnation,
-            newest=newest,
-            granted=max(self.member.guard.granted, self._highest),
-            target=self.member.target,
+        granted = max(self.member.guard.granted, self._highest)
+        self.incarnations.on_join(
+            name, join, granted=granted, target=self.member.target
         )
-        self._send(name, reply)
-
-    def _is_old(self, name, incarnation):
-        return incarnation < self._newest.get(name, 0)
 
     @_handles(MapJoinReply)
     def _on_join_reply(self, name, reply):
-        if reply.incarnation != self._incarnation:
-            return
-        if reply.newest > self._incarnation:
-            self._yield_to(reply.newest)
-            return
-        self._highest = max(self._highest, reply.granted)
-        self._join_replies[name] = reply
-        if len(self._join_replies) == len(self._others()):
-            self._news.set()
-
-    def _yield_to(self, newest):
-        if self._has_joined:
-            self._retire(f"incarnation {newest} is known")
-            return
-        # This start is the newer one: the host's clock was set back before it.
-        self._incarnation = self.member.incarnation = newest + 1
-        self._join_replies = {}
+        self.incarnations.on_join_reply(name, reply)
 
     @_handles(MapClaim)
     def _on_claim(self, name, claim):
         self._highest = max(self._highest, claim.term)
         if claim.term.leader != name:
             return
-        if self._is_old(name, claim.term.incarnation):
+        if self.incarnations.is_old(name, claim.term.incarnation):
             self._deny(name, claim.term.incarnation, retired=True)
         elif claim.term < self.member.guard.granted:
             self._deny(name, claim.term.incarnation)
-        elif self.joined and claim.members == self.members:
+        elif self.incarnations.joined and claim.members == self.members:
             if self._leader is not None and claim.term > self._leader.term:
                 self._leader.lose(f"term {claim.term} has been granted")
             self._spawn(self._grant(name, claim))
@@ -333,7 +288,7 @@
         try:
             report = await self.member.grant(claim.term)
         except SupersededError as error:
-            self._retire(str(error))
+            self.incarnations.retire(str(error))
         except StaleTermError:
             self._deny(name, claim.term.incarnation)
         except WaxwingError as error:
@@ -342,7 +297,7 @@
             grant = MapGrant(
                 group=self._group,
                 term=claim.term,
-                incarnation=self._incarnation,
+                incarnation=self.incarnations.number,
                 report=report,
                 sent_ms=self._clock.now_ms(),
                 echo_ms=claim.sent_ms,
@@ -351,9 +306,12 @@
 
     def _is_obeyed(self, name, message):
         """Return whether a leader's message is for this incarnation's term."""
-        if message.incarnation != self._incarnation or not self.joined:
+        if (
+            message.incarnation != self.incarnations.number
+            or not self.incarnations.joined
+        ):
             return False
-        if self._is_old(message.term.leader, message.term.incarnation):
+        if self.incarnations.is_old(message.term.leader, message.term.incarnation):
             self._deny(name, message.term.incarnation, retired=True)
             return False
         if message.term != self.member.guard.granted:
@@ -370,7 +328,7 @@
         try:
             done = await self.member.obey(order)
         except SupersededError as error:
-            self._retire(str(error))
+            self.incarnations.retire(str(error))
         except StaleTermError:
             self._deny(name, order.term.incarnation)
         else:
@@ -385,7 +343,7 @@
         reply = MapBeatReply(
             group=self._group,
             term=beat.term,
-            incarnation=self._incarnation,
+            incarnation=self.incarnations.number,
             sent_ms=self._clock.now_ms(),
             echo_ms=beat.sent_ms,
         )
@@ -393,17 +351,17 @@
 
     @_handles(MapDenial)
     def _on_denial(self, name, denial):
-        if denial.incarnation != self._incarnation:
+        if denial.incarnation != self.incarnations.number:
             return
         self._highest = max(self._highest, denial.granted)
         if denial.retired:
-            self._retire(f'agent "{name}" knows a newer incarnation')
+            self.incarnations.retire(f'agent "{name}" knows a newer incarnation')
         elif self._leader is not None:
             self._leader.on_denial(denial)
 
     def _leads(self, name, message):
         """Return whether a follower's message counts for the present term."""
-        if self._is_old(name, message.incarnation):
+        if self.incarnations.is_old(name, message.incarnation):
             self._deny(name, message.incarnation, retired=True)
             return False
         return self._leader is not None and message.term == self._leader.term
--- a/src/waxwinghold/_agent/_maps/member.py
+++ b/src/waxwinghold/_agent/_maps/member.py
@@ -32,13 +32,13 @@
 
     Args:
         name: The agent's name.
-        incarnation: The number of this start of the agent.
+        incarnations: The ``Incarnations`` that know this start's number.
         engine: An ``EngineOrders``.
     """
 
-    def __init__(self, *, name, group, incarnation, engine, clock, timing):
+    def __init__(self, *, name, group, incarnations, engine, clock, timing):
         self.name = name
-        self.incarnation = incarnation
+        self._incarnations = incarnations
         self.engine = engine
         self.guard = TermGuard()
         self.target = None
@@ -135,7 +135,7 @@
         return MapOrderDone(
             group=self._group,
             term=order.term,
-            incarnation=self.incarnation,
+            incarnation=self._incarnations.number,
             sequence=order.sequence,
             sent_ms=self._clock.now_ms(),
             echo_ms=order.sent_ms,
--- a/tests/test_maps.py
+++ b/tests/test_maps.py
@@ -72,7 +72,7 @@
             if detail.sequence == HOLD_SEQUENCE:
                 world.cuts.add((LEADER, "a"))
         elif what == "sent" and isinstance(detail, MapOrder):
-            is_last = detail.incarnation == old.keeper.member.incarnation
+            is_last = detail.incarnation == old.keeper.incarnations.number
             if detail.kind == OrderKind.SWITCH and is_last:
                 # Only the member will ever know of the switch.
                 process.kill()
--- a/tests/test_maps_engine.py
+++ b/tests/test_maps_engine.py
@@ -23,7 +23,9 @@
         for keeper in self.keepers.values():
             task = asyncio.create_task(keeper.run())
             self.addCleanup(task.cancel)
-        await self.until(lambda: all(k.joined for k in self.keepers.values()))
+        await self.until(
+            lambda: all(k.incarnations.joined for k in self.keepers.values())
+        )
 
     def _keeper(self, name, url):
         clock = Clock()
