Send a map's experts once in a change

Cause: grants, switches and resumes each carried the whole map; with 58 layers that is most of a change's bytes. Ruled out: giving each agent its own part only; a replaced rank's part would be lost with it. Conclusion: only LOAD, and the recovery of a rank that lost its experts, carry them.

--- a/src/waxwinghold/_agent/_maps/keeper.py
+++ b/src/waxwinghold/_agent/_maps/keeper.py
@@ -4,9 +4,11 @@
 import random
 
 import logbook
+import msgspec
 
 from ..._errors import WaxwingError
 from ..._messages.maps import (
+    ExpertMap,
     MapBeat,
     MapBeatReply,
     MapClaim,
@@ -237,6 +239,7 @@
             clock=self._clock,
             timing=self._timing,
             plan=self._plan,
+            known_map_ids=[known.map_id for known in self.member.known_maps()],
         )
         try:
             return await leader.run(wanted)
@@ -287,6 +290,8 @@
     async def _grant(self, name, claim):
         try:
             report = await self.member.grant(claim.term)
+            if name != self._name:
+                report = _without_experts(report, claim.known_map_ids)
         except SupersededError as error:
             self.incarnations.retire(str(error))
         except StaleTermError:
@@ -380,3 +385,13 @@
     def _on_beat_reply(self, name, reply):
         if self._leads(name, reply):
             self._leader.on_beat_reply(name, reply)
+
+
+def _without_experts(report, map_ids):
+    """Return the report without the experts of maps that the leader knows."""
+    short = {
+        field: ExpertMap(map_id=expert_map.map_id)
+        for field in ("target", "prepared")
+        if (expert_map := getattr(report, field)) and expert_map.map_id in map_ids
+    }
+    return msgspec.structs.replace(report, **short)
--- a/src/waxwinghold/_agent/_maps/leader.py
+++ b/src/waxwinghold/_agent/_maps/leader.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..._messages.maps import MapBeat, MapClaim, MapOrder, OrderKind
+from ..._messages.maps import ExpertMap, MapBeat, MapClaim, MapOrder, OrderKind
 from .choice import choose_map
 from .errors import TermLostError
 from .waiting import wait_event
@@ -40,9 +40,22 @@
         members: Names of all agents of the group, this one included.
         send: ``send(name, message)``; messages may be lost.
         plan: Returns an ``ExpertMap`` for a group that knows none.
+        known_map_ids: Maps whose experts this agent knows.
     """
 
-    def __init__(self, *, name, group, members, term, send, clock, timing, plan):
+    def __init__(
+        self,
+        *,
+        name,
+        group,
+        members,
+        term,
+        send,
+        clock,
+        timing,
+        plan,
+        known_map_ids=(),
+    ):
         self.term = term
         self.current = None
         self._name = name
@@ -52,6 +65,7 @@
         self._clock = clock
         self._timing = timing
         self._plan = plan
+        self._known_map_ids = tuple(known_map_ids)
         self._peers = {member: _Peer() for member in members}
         self._news = asyncio.Event()
         self._lost = None
@@ -160,6 +174,7 @@
             term=self.term,
             members=self._members,
             sent_ms=self._clock.now_ms(),
+            known_map_ids=self._known_map_ids,
         )
         self._send(name, claim)
 
@@ -262,7 +277,7 @@
         reports = [peer.report for peer in self._peers.values()]
         choice = choose_map(reports)
         if choice.in_force:
-            await self._ask_all(OrderKind.RESUME, choice.expert_map)
+            await self._ask_all(OrderKind.RESUME, _named(choice.expert_map))
             self.current = choice.expert_map
             return
         expert_map = choice.expert_map
@@ -293,7 +308,8 @@
         except TermLostError:
             await self._go_back()
             raise
-        await self._switch(expert_map, step)
+        await self._switch(_named(expert_map), step)
+        self.current = expert_map
 
     async def _hold_ahead(self):
         """Have every engine stop before one step ahead, and return it."""
@@ -306,7 +322,7 @@
     async def _switch(self, expert_map, step=None):
         limit_ms = self._timing.load_limit_ms
         await self._ask_all(OrderKind.SWITCH, expert_map, step=step, limit_ms=limit_ms)
-        await self._ask_all(OrderKind.RESUME, expert_map)
+        await self._ask_all(OrderKind.RESUME, _named(expert_map))
         self.current = expert_map
 
     async def _go_back(self):
@@ -316,7 +332,7 @@
         map only.
         """
         until_ms = self._clock.now_ms() + self._timing.phase_limit_ms
-        self._order_all(OrderKind.RESUME, self.current, None)
+        self._order_all(OrderKind.RESUME, _named(self.current), None)
         while self._lost is None and self._clock.now_ms() < until_ms:
             open_names = [n for n, p in self._peers.items() if not _is_done(p)]
             for name in open_names:
@@ -328,3 +344,8 @@
 
 def _is_done(peer):
     return peer.done is not None and not peer.done.reason
+
+
+def _named(expert_map):
+    """Return the map without its experts, for agents that have them."""
+    return ExpertMap(map_id=expert_map.map_id)
--- a/src/waxwinghold/_agent/_maps/member.py
+++ b/src/waxwinghold/_agent/_maps/member.py
@@ -181,7 +181,7 @@
 
     @_procedure(OrderKind.SWITCH)
     async def _switch(self, order):
-        expert_map = order.expert_map
+        expert_map = self._with_experts(order.expert_map)
         self.target, self.target_term = expert_map, order.term
         step = HOLD_NOW_STEP if order.step is None else order.step
         engine = await self._until(
@@ -200,7 +200,7 @@
 
     @_procedure(OrderKind.RESUME)
     async def _resume(self, order):
-        expert_map = order.expert_map
+        expert_map = self._with_experts(order.expert_map)
         engine = await self.engine.read_map()
         if engine.map_id != expert_map.map_id:
             raise MapLostError(f'the engine is not on map "{expert_map.map_id}"')
@@ -210,11 +210,21 @@
             await self.engine.hold_before(None)
         self._adopt(order, expert_map)
 
+    def _with_experts(self, expert_map):
+        """Return the map with its experts, if this agent knows them."""
+        for known in self.known_maps():
+            if known.map_id == expert_map.map_id:
+                return known
+        return expert_map
+
+    def known_maps(self):
+        """Return the maps whose experts this agent knows."""
+        maps = (self.target, self.prepared)
+        return [known for known in maps if known is not None and known.experts]
+
     def _adopt(self, order, expert_map):
         if self.target is None or self.target.map_id != expert_map.map_id:
             self.target, self.target_term = expert_map, order.term
-        elif not self.target.experts:
-            self.target = expert_map
         self.prepared = None
         self.settled = True
 
--- a/src/waxwinghold/_messages/maps.py
+++ b/src/waxwinghold/_messages/maps.py
@@ -76,12 +76,18 @@
 
 
 class MapClaim(Message):
-    """Asks for the right to lead the group under ``term``."""
+    """Asks for the right to lead the group under ``term``.
+
+    Fields:
+        known_map_ids: Maps whose experts the sender knows; reports leave them
+            out, as they are most of a message.
+    """
 
     group: str
     term: Term
     members: tuple[str, ...]
     sent_ms: float
+    known_map_ids: tuple[str, ...] = ()
 
 
 class MapGrant(Message):
