--- a/src/waxwinghold/_agent/_maps/keeper.py
+++ b/src/waxwinghold/_agent/_maps/keeper.py
@@ -171,7 +171,9 @@
         if self.member.target is None and known and agreed:
             self.member.target = known[0]
         self.member.settled = bool(agreed and clean and engine.hold_before is None)
-        self.member.heard_ms = self._clock.now_ms()
+        # A leader, if there is one, is heard within two tries of its claim.
+        grace_ms = self._timing.claim_after_ms - 2 * self._timing.retry_ms
+        self.member.heard_ms = self._clock.now_ms() - grace_ms
         self.incarnations.joined = True
 
     async def _watch(self):
--- a/src/waxwinghold/_agent/_maps/leader.py
+++ b/src/waxwinghold/_agent/_maps/leader.py
@@ -316,7 +316,8 @@
         await self._ask_all(OrderKind.READ)
         last_step = max(peer.engine.step for peer in self._peers.values())
         step = last_step + 1 + self._timing.ahead_steps_count
-        await self._ask_all(OrderKind.HOLD, step=step)
+        limit_ms = self._timing.hold_limit_ms
+        await self._ask_all(OrderKind.HOLD, step=step, limit_ms=limit_ms)
         return step
 
     async def _switch(self, expert_map, step=None):
--- a/src/waxwinghold/_agent/_maps/timing.py
+++ b/src/waxwinghold/_agent/_maps/timing.py
@@ -24,6 +24,9 @@
         lost_ms: Silence after which a leader gives a member up.
         phase_limit_ms: The longest that a phase without loading may take, and
             that one agent may fail in any phase.
+        hold_limit_ms: The longest that stopping all engines may take before
+            the change is given up, as some stand still meanwhile; shorter than
+            the lease, so that an agent that is not heard can still be let go.
         load_limit_ms: The longest that a phase with loading may take.
         ahead_steps_count: Steps between the last known one and the switch.
     """
@@ -38,6 +41,7 @@
     claim_jitter_ms: float = 25.0
     lost_ms: float = 2000.0
     phase_limit_ms: float = 3000.0
+    hold_limit_ms: float = 300.0
     load_limit_ms: float = 600_000.0
     ahead_steps_count: int = 10
 
--- a/tests/maps_matrix.py
+++ b/tests/maps_matrix.py
@@ -2,7 +2,8 @@
 
 import asyncio
 
-from map_fakes import World
+import fire
+from map_fakes import World, run_world
 
 from waxwinghold import WaxwingError
 from waxwinghold._messages.maps import MapClaim, MapOrder, MapOrderDone, OrderKind
@@ -225,3 +226,22 @@
     await asyncio.gather(task, return_exceptions=True)
     await world.close()
     return world, trigger.met_ms is not None
+
+
+def print_stalls(*, checks_orders=False, again=False):
+    """Print how long the group stalled in each cell, as a table for the docs."""
+    print("| fault |", " | ".join(STEPS), "|")
+    print("|---" * (len(STEPS) + 1) + "|")
+    for fault in FAULTS:
+        cells = []
+        for step in STEPS:
+            cell = {"step": step, "fault": fault, "again": again}
+            world, _ = run_world(lambda: run_cell(checks_orders=checks_orders, **cell))
+            mixed = f" ({world.mixed_count} mixed)" if world.mixed_count else ""
+            stuck = "" if world.recovered else " (not recovered)"
+            cells.append(f"{world.stall_ms:.0f}{mixed}{stuck}")
+        print("|", fault, "|", " | ".join(cells), "|")
+
+
+if __name__ == "__main__":
+    fire.Fire(print_stalls)
