Record what chance faults found: orders that all arrive twice

Ruled out: fresh names for each load (the doubled pair carries the same name), leases in steps (a dead agent would stop its group).

--- a/tests/maps_matrix.py
+++ b/tests/maps_matrix.py
@@ -3,11 +3,12 @@
 import asyncio
 
 import fire
-from map_fakes import World, run_world
 
 from waxwinghold import WaxwingError
 from waxwinghold._messages.maps import MapClaim, MapOrder, MapOrderDone, OrderKind
 
+from .map_fakes import World, run_world
+
 LEADER, MEMBER, RIVAL = "b", "c", "a"
 NAMES = "abc"
 JOIN_MS = 2000
--- a/tests/test_maps.py
+++ b/tests/test_maps.py
@@ -5,8 +5,14 @@
 from unittest import mock
 
 import logbook
-from map_fakes import World, run_world
-from maps_matrix import (
+
+from waxwinghold._agent._maps import member as member_module
+from waxwinghold._agent._maps.leader import Leader
+from waxwinghold._agent._maps.member import Member
+from waxwinghold._messages.maps import MapOrder, MapOrderDone, OrderKind
+
+from .map_fakes import World, run_world
+from .maps_matrix import (
     FAULTS,
     HOLD_SEQUENCE,
     JOIN_MS,
@@ -17,12 +23,8 @@
     run_cell,
 )
 
-from waxwinghold._agent._maps import member as member_module
-from waxwinghold._agent._maps.leader import Leader
-from waxwinghold._agent._maps.member import Member
-from waxwinghold._messages.maps import MapOrder, MapOrderDone, OrderKind
-
 CHAOS_SEEDS = range(40)
+DOUBLED_ORDERS_SEED = 48
 
 
 class MajorityLeader(Leader):
@@ -174,6 +176,25 @@
         ]
         self.assertEqual(bad, [])
 
+    def test_an_engine_that_changes_its_map_by_itself_is_stopped(self):
+        async def scenario():
+            world = World(names="abc")
+            await world.sleep_ms(JOIN_MS)
+            await change(world, LEADER, "m1")
+            world.engines[MEMBER].loaded.append("x")
+            world.engines[MEMBER].map_id = "x"
+            await world.sleep_ms(4000)
+            await world.close()
+            return world
+
+        world = run_world(scenario)
+        self.assertLess(world.mixed_count, 60)
+        self.assertEqual(len(world.maps_in_use()), 1)
+
+    def test_orders_that_all_reach_their_engines_a_second_time_later(self):
+        world = run_world(lambda: chaos_scenario(DOUBLED_ORDERS_SEED))
+        self.assertEqual(world.mixed_count, 0)
+
     def test_a_group_without_any_map_starts_on_a_planned_one(self):
         async def scenario():
             world = World(names="abc", map_id="")
