Bound the audit reply and the sheet's kept answers; wire the readers' turns

Cause: a trail of 10,000 long entries made a reply larger than a frame, which never arrived: waxwing audit called the process unreachable (exit status 6, the new test failed so). Answers to pulls were kept for each base that a peer named, known or not. The entry did not pass the sheet's version to is_reader.

--- a/src/waxwinghold/_audit.py
+++ b/src/waxwinghold/_audit.py
@@ -5,6 +5,9 @@
 from dataclasses import dataclass
 
 import logbook
+import msgspec
+
+DOCUMENT_LIMIT_BYTES = 2 * 1024 * 1024
 
 _log = logbook.Logger("waxwinghold.audit")
 
@@ -70,3 +73,20 @@
     def since(self, wall_ms):
         """Return the entries made at ``wall_ms`` or later, oldest first."""
         return tuple(entry for entry in self._entries if entry.wall_ms >= wall_ms)
+
+    def document_since(self, wall_ms, *, limit_bytes=DOCUMENT_LIMIT_BYTES):
+        """Return the entries made at ``wall_ms`` or later as JSON, oldest first.
+
+        Args:
+            limit_bytes: The document's bound; the newest entries that fit are
+                kept, as a reply that is larger than a frame never arrives.
+        """
+        kept = collections.deque()
+        size_bytes = len(b"[]")
+        for entry in reversed(self.since(wall_ms)):
+            row = msgspec.json.encode(entry)
+            size_bytes += len(row) + len(b",")
+            if size_bytes > limit_bytes:
+                break
+            kept.appendleft(row)
+        return b"[" + b",".join(kept) + b"]"
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -186,7 +186,12 @@
         if self.spreader.is_fresh:
             return False
         live = self.peers.names_up(data_centre=self.settings.data_centre)
-        return is_reader(self.settings.name, live, self.settings.readers_count)
+        return is_reader(
+            self.settings.name,
+            live,
+            self.settings.readers_count,
+            sheet_version=self.store.version,
+        )
 
     def _hosts_changed(self, host_list):
         self.peers.apply(host_list)
--- a/src/waxwinghold/_process.py
+++ b/src/waxwinghold/_process.py
@@ -200,7 +200,7 @@
             document = msgspec.json.encode(self.status())
             connection.send(StatusReply(query_id=message.query_id, document=document))
         elif isinstance(message, AuditQuery):
-            document = msgspec.json.encode(self.audit.since(message.since_ms))
+            document = self.audit.document_since(message.since_ms)
             connection.send(AuditReply(query_id=message.query_id, document=document))
         elif isinstance(message, DrainOrder):
             reply = OrderReply(
--- a/src/waxwinghold/_sheet/spreading.py
+++ b/src/waxwinghold/_sheet/spreading.py
@@ -124,10 +124,13 @@
         """Return the answer to a ``SheetPull``, or ``None`` without a newer sheet."""
         if self._store.version <= pull.have_version:
             return None
-        base = (pull.have_version, pull.have_digest)
-        if base not in self._answers:
-            self._answers[base] = self._make_answer(pull)
-        return self._answers[base]
+        base = self._store.held(version=pull.have_version, digest=pull.have_digest)
+        if base is None:
+            return self._full()
+        key = (pull.have_version, pull.have_digest)
+        if key not in self._answers:
+            self._answers[key] = self._make_answer(pull, base)
+        return self._answers[key]
 
     def take(self, message, peer):
         """Put the sheet of a ``SheetFull`` or ``SheetDelta`` into force.
@@ -168,11 +171,8 @@
             raise DeltaError("the delta's base is not known here")
         return apply_delta(base, message.patch, digest=message.digest)
 
-    def _make_answer(self, pull):
+    def _make_answer(self, pull, base):
         full = self._full()
-        base = self._store.held(version=pull.have_version, digest=pull.have_digest)
-        if base is None:
-            return full
         patch = make_delta(base, self._store.current)
         if len(patch) >= len(full.document):
             return full
--- a/tests/test_tool_fleet.py
+++ b/tests/test_tool_fleet.py
@@ -54,6 +54,16 @@
         self.assertEqual((entry.what, entry.process), ("sheet.refused", "entry-1"))
         self.assertIn("sheet.refused", report.text)
 
+    async def test_a_long_trail_arrives_with_its_newest_entries(self):
+        for number in range(10_000):
+            self.process.audit.record(
+                what="test.entry", subject=str(number), reason="r" * 500
+            )
+        report = await audit_report(self.operator(), since_ms=0)
+        self.assertEqual(report.status, 0)
+        self.assertEqual(report.data["entries"][-1].subject, "9999")
+        self.assertGreater(len(report.data["entries"]), 1000)
+
     async def test_a_drained_process_ends_and_its_trail_names_the_operator(self):
         report = await drain_report(
             self.operator(), process="entry-1", reason="host is replaced"
