Test the settings' errors

Cause: no test held the settings to one line with file, key and expectation. Ruled out: nothing. Before: no test.

--- /dev/null
+++ b/tests/test_settings.py
@@ -0,0 +1,110 @@
+"""Settings that are not valid give one line with file, key and expectation."""
+
+import contextlib
+import io
+import json
+import pathlib
+import tempfile
+import unittest
+import unittest.mock
+
+from waxwinghold import _daemon
+from waxwinghold._errors import SettingsError
+from waxwinghold._settings import AgentSettings, EntrySettings, load_settings
+
+EXAMPLES = pathlib.Path(__file__).parents[1] / "examples"
+KEY = "a" * 40
+GOOD = {
+    "name": "entry-1",
+    "data_centre": "nadi",
+    "link_address": "tcp://127.0.0.1:7001",
+    "link_secret_key": KEY,
+    "link_public_key": KEY,
+    "platform_url": "http://127.0.0.1:7002",
+    "token_secrets": ["s" * 32],
+    "http_address": "127.0.0.1:7003",
+}
+BROKEN = {
+    "a setting without its unit": (
+        {"silence_limit": 3},
+        "silence_limit",
+        '"silence_limit_ms"',
+    ),
+    "an unknown key": ({"colour": "blue"}, "colour", "no such key"),
+    "a wrong type": ({"silence_limit_ms": "3 s"}, "silence_limit_ms", "`int`"),
+    "a number that is not positive": (
+        {"drain_limit_ms": 0},
+        "drain_limit_ms",
+        "above 0",
+    ),
+    "a host name for an IP number": (
+        {"link_address": "tcp://entry-1:7001"},
+        "link_address",
+        "IP number",
+    ),
+    "a platform by name": (
+        {"platform_url": "http://platform:80"},
+        "platform_url",
+        "IP number",
+    ),
+    "a short secret": ({"token_secrets": ["short"]}, "token_secrets", "32"),
+    "a short key": ({"link_public_key": "short"}, "link_public_key", "Z85"),
+    "an unknown key in a row": (
+        {"known_keys": [{"name": "a", "role": "entry", "public_key": KEY, "x": 1}]},
+        "known_keys[0].x",
+        "one of",
+    ),
+    "an unknown role": (
+        {"known_keys": [{"name": "a", "role": "king", "public_key": KEY}]},
+        "known_keys[0].role",
+        "role",
+    ),
+}
+
+
+class SettingsTests(unittest.TestCase):
+    def setUp(self):
+        directory = tempfile.TemporaryDirectory()
+        self.addCleanup(directory.cleanup)
+        self.path = pathlib.Path(directory.name) / "entry.json5"
+
+    def write(self, **changes):
+        text = "// JSON with comments\n" + json.dumps(GOOD | changes)
+        self.path.write_text(text)
+        return str(self.path)
+
+    def test_good_settings_are_read_with_their_comments(self):
+        settings = load_settings(self.write(), EntrySettings)
+        self.assertEqual(settings.http_address, GOOD["http_address"])
+
+    def test_the_examples_are_good(self):
+        load_settings(EXAMPLES / "entry.settings.json5", EntrySettings)
+        load_settings(EXAMPLES / "agent.settings.json5", AgentSettings)
+
+    def test_each_fault_names_file_key_and_what_was_expected(self):
+        for name, (changes, key, expected) in BROKEN.items():
+            with self.subTest(name):
+                path = self.write(**changes)
+                with self.assertRaises(SettingsError) as caught:
+                    load_settings(path, EntrySettings)
+                message = str(caught.exception)
+                self.assertIn(path, message)
+                self.assertIn(f'"{key}"', message)
+                self.assertIn(expected, message)
+
+    def test_a_missing_key_is_named(self):
+        self.path.write_text(json.dumps({"name": "entry-1"}))
+        with self.assertRaisesRegex(SettingsError, "data_centre"):
+            load_settings(self.path, EntrySettings)
+
+    def test_the_daemon_ends_with_one_line_and_its_own_exit_status(self):
+        path = self.write(silence_limit=3)
+        errors = io.StringIO()
+        with (
+            unittest.mock.patch("sys.argv", ["waxwingd", "entry", path]),
+            contextlib.redirect_stderr(errors),
+            self.assertRaises(SystemExit) as ended,
+        ):
+            _daemon.main()
+        self.assertEqual(ended.exception.code, SettingsError.exit_status)
+        self.assertEqual(len(errors.getvalue().splitlines()), 1)
