Put each agent in its target's group, on the expert maps' protocol

Cause: the protocol of expert maps and the agents did not know each other, and any known key could submit requests to an agent. Ruled out: maps through the entries, which come and go; agents of one group keep links among themselves. Before: no group's map was kept in a running fleet. Conclusion: requests are taken from entries only, map messages from agents only.

--- /dev/null
+++ b/src/waxwinghold/_agent/group.py
@@ -0,0 +1,189 @@
+"""The agent's place in its target's group: links to the others, and the map."""
+
+from dataclasses import dataclass
+
+import logbook
+
+from .._links import Link, LinkDownError
+from ._maps import DeskEngine, GroupKeeper
+
+log = logbook.Logger("waxwinghold.maps")
+
+
+@dataclass(frozen=True, kw_only=True)
+class GroupShape:
+    """Who forms a group, as the sheet says.
+
+    Args:
+        name: The group's name.
+        members: Names of all agents of the group, sorted.
+    """
+
+    name: str
+    members: tuple[str, ...]
+
+
+class GroupSeat:
+    """Keeps this agent in its group while the sheet gives it one.
+
+    Args:
+        process: The ``AgentProcess``.
+        desk: The ``OrderDesk`` that sends orders to the engine.
+        make_rebalancer: Makes the rebalancer of a new ``GroupSeat`` shape.
+    """
+
+    def __init__(self, *, process, desk, make_rebalancer):
+        self._process = process
+        self._desk = desk
+        self._make_rebalancer = make_rebalancer
+        self._shape = None
+        self._links = {}
+        self._rows = {}
+        self._tasks = {}
+        self.keeper = None
+        self.rebalancer = None
+
+    @property
+    def name(self):
+        """The group's name, or an empty text."""
+        return self._shape.name if self._shape else ""
+
+    @property
+    def members(self):
+        """Names of all agents of the group, sorted."""
+        return self._shape.members if self._shape else ()
+
+    def live_members(self):
+        """Return the names of the members that can be reached, self included."""
+        own = self._process.settings.name
+        return tuple(
+            name
+            for name in self.members
+            if name == own or (name in self._links and self._links[name].up)
+        )
+
+    def apply(self, index):
+        """Follow a new sheet."""
+        target = index.targets.get(self._process.settings.name)
+        rows = index.targets_by_group.get(target.group, ()) if target else ()
+        if not target or not target.group:
+            rows = ()
+        self._follow_links({row.name: row for row in rows})
+        names = tuple(sorted(row.name for row in rows))
+        shape = GroupShape(name=target.group, members=names) if rows else None
+        if shape != self._shape:
+            self._shape = shape
+            self._start_keeper()
+
+    def send(self, name, message):
+        """Send to another agent of the group; the message may be lost."""
+        link = self._links.get(name)
+        if link is None:
+            return
+        try:
+            link.send(message)
+        except LinkDownError:
+            log.debug('message to "{}" lost: link down', name)
+
+    def take(self, name, message):
+        """Hand a message of another agent to the map or to the rebalancing."""
+        if self.keeper is None:
+            return
+        self.keeper.on_message(name, message)
+        self.rebalancer.on_message(name, message)
+
+    def on_up(self, link):
+        """Note that a member can be reached."""
+        log.debug('agent "{}" of the group is up', link.name)
+
+    def on_down(self, link):
+        """Note that a member cannot be reached."""
+        log.info('agent "{}" of the group is down', link.name)
+
+    def on_heartbeat(self, link, heartbeat):
+        """Do nothing more: the link has noted it."""
+
+    def on_leaving(self, link, message):
+        """Note that a member leaves."""
+        log.info('agent "{}" of the group is leaving', link.name)
+
+    def on_message(self, link, message):
+        """Take in what a member sends over this agent's own link."""
+        self.take(link.name, message)
+
+    def status(self):
+        """Return the group's state in plain types."""
+        if self.keeper is None:
+            return {}
+        member = self.keeper.member
+        return {
+            "group": self.name,
+            "map": member.target.map_id if member.target else "",
+            "map_settled": member.settled,
+            "members_up": len(self.live_members()),
+            "members": len(self.members),
+        }
+
+    def _start_keeper(self):
+        for name in ("keeper", "rebalancer"):
+            task = self._tasks.pop(name, None)
+            if task is not None:
+                task.cancel()
+        self.keeper = self.rebalancer = None
+        if self._shape is None:
+            return
+        self.rebalancer = self._make_rebalancer(self)
+        self.keeper = GroupKeeper(
+            name=self._process.settings.name,
+            group=self.name,
+            members=self.members,
+            incarnation=self._process.clock.wall_ms(),
+            engine=DeskEngine(desk=self._desk),
+            send=self.send,
+            clock=self._process.clock,
+            plan=self.rebalancer.first_map,
+        )
+        self._tasks["keeper"] = self._process.spawn(self._run_keeper(self.keeper))
+        self._tasks["rebalancer"] = self._process.spawn(self.rebalancer.run())
+
+    async def _run_keeper(self, keeper):
+        await keeper.run()
+        if keeper.incarnations.retired:
+            self._process.drain(
+                reason="a newer agent of this name is in its group",
+                by=self._process.settings.name,
+            )
+
+    def _follow_links(self, rows):
+        rows.pop(self._process.settings.name, None)
+        for name in list(self._links):
+            if not _same_place(self._rows[name], rows.get(name)):
+                del self._links[name], self._rows[name]
+                self._tasks.pop(name).cancel()
+        for name, row in rows.items():
+            if name not in self._links:
+                self._open(row)
+
+    def _open(self, row):
+        link = Link(
+            clock=self._process.clock,
+            context=self._process.context,
+            settings=self._process.settings,
+            presence=self._process.presence,
+            handler=self,
+            name=row.name,
+            address=row.agent_address,
+            public_key=row.agent_public_key,
+        )
+        self._links[row.name] = link
+        self._rows[row.name] = row
+        self._tasks[row.name] = self._process.spawn(link.run())
+
+
+def _same_place(old, new):
+    if new is None:
+        return False
+    return (old.agent_address, old.agent_public_key) == (
+        new.agent_address,
+        new.agent_public_key,
+    )
--- a/src/waxwinghold/_agent/handler.py
+++ b/src/waxwinghold/_agent/handler.py
@@ -36,6 +36,7 @@
 log = logbook.Logger("agent")
 
 ENTRY_ROLE = "entry"
+AGENT_ROLE = "agent"
 HOUSEKEEPING_INTERVAL_MS = 500
 DETACHED_LIMIT_MS = 10_000
 
@@ -73,7 +74,15 @@
             work.unfollow(connection, now_ms=self._clock.now_ms())
 
     async def on_message(self, connection, message):
-        """Handle one message of an entry or an operator."""
+        """Handle one message of an entry, another agent or an operator."""
+        if connection.key.role == ENTRY_ROLE:
+            self._on_entry_message(connection, message)
+        elif connection.key.role == AGENT_ROLE:
+            self._process.group.take(connection.name, message)
+        else:
+            self._process.on_operator_message(connection, message)
+
+    def _on_entry_message(self, connection, message):
         if isinstance(message, Submit):
             self._submit(connection, message)
         elif isinstance(message, Cancel):
--- a/src/waxwinghold/_agent/process.py
+++ b/src/waxwinghold/_agent/process.py
@@ -3,11 +3,13 @@
 from .._process import Process
 from .._sheet.index import index_sheet
 from .fencing import FencingNumbers
+from .group import GroupSeat
 from .handler import AgentHandler
 from .ledger import Ledger
 from .monitor import TargetMonitor
 from .orders import OrderDesk
 from .queueing import FairQueue
+from .rebalancing import Rebalancer
 from .reconciler import Reconciler
 from .runner import Runner
 from .target import TargetClient
@@ -31,6 +33,7 @@
         self.monitor = None
         self.runner = None
         self.reconciler = None
+        self.group = None
         self._desk = None
         self._entry_heard_ms = None
         self._handler = None
@@ -97,6 +100,9 @@
             url=self.settings.target_url, fencing=FencingNumbers(clock=self.clock)
         )
         self.reconciler = Reconciler(process=self, desk=self._desk)
+        self.group = GroupSeat(
+            process=self, desk=self._desk, make_rebalancer=self._make_rebalancer
+        )
         self._handler = AgentHandler(process=self)
         return self._handler
 
@@ -132,12 +138,24 @@
             slots_count=self.slots_count(),
             keys_count=len(self.ledger),
             ledger_bytes=self.ledger.used_bytes,
+            **self.group.status(),
         )
         return status
 
+    def _make_rebalancer(self, group):
+        return Rebalancer(
+            name=self.settings.name,
+            group=group,
+            index=lambda: self._index,
+            read=self._desk.read,
+            clock=self.clock,
+            audit=self.audit,
+        )
+
     def _sheet_changed(self, old, new):
         self._index = index_sheet(new)
         self._last_kind = self.kind() or self._last_kind
         if self.runner is not None:
             self.runner.wake()
             self.reconciler.wake()
+            self.group.apply(self._index)
