Keep a group's ranks even as the demand for experts drifts

Cause: planners and the safe change of a map existed, but nothing measured demand, planned with it or ordered the change. Ruled out: differences since the last answer, as a lost reply loses demand; each agent smooths its own readings instead. Changing at every gain that the planner finds: in a trial with four ranks and demand that stood still, four changes followed each other, the last three from a skew of 1.001 down to 1.000; a change now has to lower the skew by 0.01. Planners learn only from changes that were carried out, so each plans on a copy. Conclusion: the loop is ready for the agent to start it; not wired in yet.

--- /dev/null
+++ b/src/waxwinghold/_agent/rebalancing.py
@@ -0,0 +1,274 @@
+"""Keeps the ranks of a group even as the demand for experts drifts."""
+
+import asyncio
+import copy
+import statistics
+from dataclasses import dataclass
+
+import logbook
+
+from .._errors import WaxwingError
+from .._messages.maps import DemandQuery, DemandReply, ExpertMap
+from .._policy import placement_policy, plan_skew
+from ._maps.waiting import wait_event
+from .demand import DemandMeter
+from .expert_plans import layout_of, map_of, plans_of
+
+log = logbook.Logger("waxwinghold.rebalancing")
+
+REBALANCE_INTERVAL_MS = 10_000.0
+REPLY_LIMIT_MS = 1000.0
+# Fewer tokens tell chance rather than demand.
+TOKENS_MIN_PER_EXPERT = 10
+# Every change of a map stops all ranks for a moment, however few experts move.
+SKEW_GAIN_MIN_RATIO = 0.01
+
+
+@dataclass(frozen=True, kw_only=True)
+class Proposal:
+    """A change of the group's map.
+
+    A group's skew is the mean over its layers, whose busiest ranks a step waits
+    for one after the other.
+
+    Args:
+        expert_map: The map to change to.
+        moves_count: Experts that ranks have to load.
+        skew: The skew under the new map.
+        skew_before: The skew under the map in force; ``None`` if the experts
+            of that are not known.
+    """
+
+    expert_map: ExpertMap
+    moves_count: int
+    skew: float
+    skew_before: float | None
+
+    @property
+    def pays(self):
+        """Whether the change is worth stopping the group for."""
+        if self.skew_before is None:
+            return True
+        return self.skew_before - self.skew >= SKEW_GAIN_MIN_RATIO
+
+
+class LayoutUnknownError(WaxwingError):
+    """A group that the sheet says nothing usable of."""
+
+    code = "layout_unknown"
+
+    def __init__(self, *, group):
+        super().__init__(f'row "{group}" of table "groups": no experts to place')
+
+
+class Rebalancer:
+    """One agent's part in keeping its group even.
+
+    Args:
+        name: This agent's name.
+        group: Has the group's ``name``, its ``members``, ``live_members()``,
+            ``send(name, message)`` and its ``keeper``, a ``GroupKeeper``.
+        index: Returns the ``SheetIndex`` in force, or ``None``.
+        read: Awaitable that reads the engine's answer at a path.
+        audit: The ``AuditTrail`` that changes are recorded in.
+        policy: Name of the placement policy.
+        interval_ms: Time between looks at the demand.
+        reply_limit_ms: Time that the other agents have to answer.
+        in_thread: Awaitable that calls a function outside the event loop.
+    """
+
+    def __init__(
+        self,
+        *,
+        name,
+        group,
+        index,
+        read,
+        clock,
+        audit,
+        policy="repair",
+        interval_ms=REBALANCE_INTERVAL_MS,
+        reply_limit_ms=REPLY_LIMIT_MS,
+        in_thread=asyncio.to_thread,
+    ):
+        self.meter = DemandMeter(read=read, clock=clock, interval_ms=interval_ms)
+        self._name = name
+        self._group = group
+        self._index = index
+        self._clock = clock
+        self._audit = audit
+        self._policy = policy
+        self._interval_ms = interval_ms
+        self._reply_limit_ms = reply_limit_ms
+        self._in_thread = in_thread
+        self._planners = ()
+        self._query_number = 0
+        self._replies = {}
+        self._all_replied = asyncio.Event()
+
+    async def run(self):
+        """Measure, and rebalance where it is this agent's turn, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(self._interval_ms)
+            await self.meter.take_reading()
+            try:
+                await self.rebalance()
+            except WaxwingError as error:
+                log.info("group {} is not rebalanced now: {}", self._group.name, error)
+
+    async def first_map(self):
+        """Return the ``ExpertMap`` of a group that has none: an even one.
+
+        Raises:
+            LayoutUnknownError: The sheet does not say which experts to place.
+        """
+        layout = self._layout()
+        if layout is None:
+            raise LayoutUnknownError(group=self._group.name)
+        planner = placement_policy.make(self._policy)
+        plan = await self._in_thread(self._plan_layer, planner, layout, None, None)
+        return map_of((plan,) * layout.layers_count, layout)
+
+    async def rebalance(self):
+        """Change the group's map if its planner finds that worth the cost.
+
+        Raises:
+            MapBusyError: Another agent leads at the moment.
+            TermLostError: The change was given up.
+        """
+        layout = self._layout()
+        if layout is None or not self._plans(layout):
+            return
+        replies = await self._ask()
+        target = self._group.keeper.member.target
+        planners = self._planner_copies(layout)
+        proposal = await self._propose(layout, replies, target, planners)
+        if proposal is None or not proposal.pays:
+            return
+        if self._group.keeper.member.target != target or not self._plans(layout):
+            return
+        changed = await self._group.keeper.change_to(proposal.expert_map)
+        self._planners = planners
+        self._record(changed, proposal)
+
+    def on_message(self, name, message):
+        """Take in a message from the agent ``name`` of the group."""
+        if message.group != self._group.name or name not in self._group.members:
+            return
+        if isinstance(message, DemandQuery):
+            self._group.send(name, self._reply_to(message))
+        elif isinstance(message, DemandReply) and message.number == self._query_number:
+            self._replies[name] = message
+            if len(self._replies) == len(self._group.members):
+                self._all_replied.set()
+
+    def _layout(self):
+        return layout_of(self._index(), self._group.name)
+
+    def _plans(self, layout):
+        """Return whether the whole group is up and this agent is its planner."""
+        members = sorted(self._group.members)
+        return (
+            members == sorted(self._group.live_members())
+            and members == sorted(layout.agents)
+            and members[0] == self._name
+            and self._group.keeper.member.settled
+        )
+
+    def _reply_to(self, query):
+        layers = tuple(tuple(map(round, layer)) for layer in self.meter.layers)
+        return DemandReply(group=query.group, number=query.number, layers=layers)
+
+    async def _ask(self):
+        """Return the agents' replies that came in time."""
+        self._query_number += 1
+        self._replies = {}
+        self._all_replied = asyncio.Event()
+        query = DemandQuery(group=self._group.name, number=self._query_number)
+        self.on_message(self._name, self._reply_to(query))
+        for name in self._group.members:
+            if name != self._name:
+                self._group.send(name, query)
+        await wait_event(self._all_replied, self._clock, self._reply_limit_ms)
+        return [reply.layers for reply in self._replies.values()]
+
+    def _planner_copies(self, layout):
+        """Return a planner for each layer, to be kept if the change succeeds.
+
+        Planners learn from the changes they make; one that was not carried
+        out must not count.
+        """
+        if len(self._planners) == layout.layers_count:
+            return tuple(map(copy.copy, self._planners))
+        layers = range(layout.layers_count)
+        return tuple(placement_policy.make(self._policy) for _ in layers)
+
+    async def _propose(self, layout, replies, target, planners):
+        """Return a ``Proposal``, or ``None`` if a part of the demand is missing.
+
+        All that grows with layers and experts runs outside the event loop.
+        """
+        demand = await self._in_thread(_total_demand, replies, layout)
+        if demand is None:
+            log.info("group {}: not all demand is known", self._group.name)
+            return None
+        current = await self._in_thread(plans_of, target, layout)
+        plans = []
+        for number, planner in enumerate(planners):
+            before = current and current[number]
+            plan = await self._in_thread(
+                self._plan_layer, planner, layout, demand[number], before
+            )
+            plans.append(plan)
+        return await self._in_thread(_compare, current, plans, demand, layout)
+
+    def _plan_layer(self, planner, layout, demand, current):
+        if demand is None or sum(demand) < TOKENS_MIN_PER_EXPERT * len(demand):
+            if current is not None:
+                return current
+            demand = layout.even_demand
+        return planner.plan(
+            demand=demand,
+            shape=layout.shape,
+            weights=layout.weights,
+            current=current,
+            now_ms=self._clock.now_ms(),
+        )
+
+    def _record(self, changed, proposal):
+        before = "the experts of the map in force were not known"
+        if proposal.skew_before is not None:
+            before = f"skew {proposal.skew_before:.3f}"
+        self._audit.record(
+            what="map.rebalanced",
+            subject=self._group.name,
+            before=before,
+            after=f"skew {proposal.skew:.3f} on map {changed.map_id}",
+            reason=f"{proposal.moves_count} experts moved, as demand drifted",
+            by=self._name,
+        )
+
+
+def _total_demand(replies, layout):
+    """Return the demand by layer, or ``None`` if an agent's part is missing."""
+    widths = [layout.experts_count] * layout.layers_count
+    if len(replies) != len(layout.agents):
+        return None
+    if any(list(map(len, layers)) != widths for layers in replies):
+        return None
+    return [list(map(sum, zip(*layer))) for layer in zip(*replies)]
+
+
+def _compare(current, plans, demand, layout):
+    pairs = zip(plans, current or (None,) * len(plans))
+    return Proposal(
+        expert_map=map_of(plans, layout),
+        moves_count=sum(len(plan.moves) for plan, old in pairs if plan is not old),
+        skew=_mean_skew(plans, demand),
+        skew_before=None if current is None else _mean_skew(current, demand),
+    )
+
+
+def _mean_skew(plans, demand):
+    pairs = zip(plans, demand, strict=True)
+    return statistics.fmean(plan_skew(plan, demand=layer) for plan, layer in pairs)
--- a/src/waxwinghold/_messages/__init__.py
+++ b/src/waxwinghold/_messages/__init__.py
@@ -6,6 +6,8 @@
 from ._base import Message
 from .links import Heartbeat, Hello, Leaving, Report
 from .maps import (
+    DemandQuery,
+    DemandReply,
     MapBeat,
     MapBeatReply,
     MapClaim,
@@ -46,6 +48,8 @@
     "AuditReply",
     "Cancel",
     "Chunk",
+    "DemandQuery",
+    "DemandReply",
     "Detach",
     "DrainOrder",
     "End",
@@ -90,6 +94,8 @@
     | AuditReply
     | Cancel
     | Chunk
+    | DemandQuery
+    | DemandReply
     | Detach
     | DrainOrder
     | End
--- a/src/waxwinghold/_messages/maps.py
+++ b/src/waxwinghold/_messages/maps.py
@@ -207,3 +207,27 @@
     newest: int
     granted: Term
     target: ExpertMap | None = None
+
+
+class DemandQuery(Message):
+    """Asks an agent for the demand for the experts of its ranks.
+
+    Fields:
+        number: Rises with each round of questions of the sender.
+    """
+
+    group: str
+    number: int
+
+
+class DemandReply(Message):
+    """Answers ``DemandQuery``.
+
+    Fields:
+        layers: Tokens that each expert of each layer gets in an interval;
+            empty where that is not known.
+    """
+
+    group: str
+    number: int
+    layers: tuple[tuple[int, ...], ...]
--- a/src/waxwinghold_standins/_engine_control.py
+++ b/src/waxwinghold_standins/_engine_control.py
@@ -18,6 +18,7 @@
             web.post("/orders", self._order),
             web.get("/map", self._map),
             web.get("/steps", self._steps),
+            web.get("/experts", self._experts),
             web.get("/kv/{prefix}", self._export),
             web.put("/kv/{prefix}", self._import),
             web.post("/_control/fault", self._fault),
@@ -77,6 +78,12 @@
             {"step": self.steps.step, "mixed_count": len(mixed), "mixed": mixed[:100]}
         )
 
+    async def _experts(self, request):
+        rank = self.rank
+        return json_answer(
+            {"layers": rank.experts.counts(), "since_step": rank.born_step}
+        )
+
     async def _export(self, request):
         content = self.rank.prefixes.content(request.match_info["prefix"])
         if content is None:
@@ -93,6 +100,8 @@
         if changes.pop("silence", False):
             self.silence()
         self.rank.faults = changed_faults(self.rank.faults, changes)
+        if self.rank.faults.expert_seed is not None:
+            self.rank.experts.drift_to(self.rank.faults.expert_seed)
         self.rank.note_load()
         self.steps.wake()
         return json_answer(self.rank.faults)
--- a/src/waxwinghold_standins/_faults.py
+++ b/src/waxwinghold_standins/_faults.py
@@ -23,6 +23,7 @@
         step_ms: Replaces the step time of an engine, or the call time of a
             service.
         load_lag_ms: Replaces the lag of an engine's load reports.
+        expert_seed: Replaces the seed of an engine's popular experts.
     """
 
     unhealthy: bool = False
@@ -32,6 +33,7 @@
     drop_after_count: int | None = None
     step_ms: float | None = None
     load_lag_ms: float | None = None
+    expert_seed: int | None = None
 
 
 def changed_faults(faults, changes):
--- a/src/waxwinghold_standins/_rank.py
+++ b/src/waxwinghold_standins/_rank.py
@@ -2,6 +2,7 @@
 
 import math
 
+from ._experts import ExpertDemand
 from ._faults import TargetFaults
 from ._generation import State, WaitingQueue
 from ._load import LoadHistory
@@ -31,6 +32,7 @@
         events_gap_every_count: One cache event in this many is lost.
         load_lag_ms: How old the figures of a load report are.
         map_id: The expert map at the start, or ``NO_MAP``.
+        experts: Options of ``ExpertDemand``.
     """
 
     def __init__(
@@ -49,6 +51,7 @@
         events_gap_every_count=0,
         load_lag_ms=0.0,
         map_id=INITIAL_MAP,
+        experts=None,
     ):
         self.version = version
         self.adapters = set(adapters)
@@ -59,6 +62,8 @@
         self.prefill_ms = prefill_ms
         self.faults = TargetFaults()
         self.maps = ExpertMaps(map_id=map_id)
+        self.experts = ExpertDemand(**experts or {})
+        self.born_step = 0
         self.cache_events = CacheEvents(
             clock=clock, lag_ms=events_lag_ms, gap_every_count=events_gap_every_count
         )
@@ -125,6 +130,7 @@
 
     def end_step(self, duration_ms):
         """Give each running generation its token."""
+        self.experts.add_step(len(self.running))
         for generation in self.running:
             generation.advance(duration_ms)
             if generation.is_complete:
--- a/src/waxwinghold_standins/_steps.py
+++ b/src/waxwinghold_standins/_steps.py
@@ -64,6 +64,7 @@
 
     def replace(self, place, rank):
         """Put a fresh rank in the place of a lost one."""
+        rank.born_step = self.step
         rank.close_step(self.step + 1)
         self.ranks[place] = rank
         self.wake()
--- /dev/null
+++ b/tests/test_rebalancing.py
@@ -0,0 +1,349 @@
+"""A group follows the demand for its experts, at the price that the sheet sets."""
+
+import asyncio
+import time
+import unittest
+from dataclasses import replace
+
+from tests.map_fakes import World, run_world
+from tests.sheet_builder import ManualClock, make_sheet, make_target
+from waxwinghold._agent.expert_plans import layout_of, map_of, plans_of
+from waxwinghold._agent.rebalancing import REBALANCE_INTERVAL_MS, Rebalancer
+from waxwinghold._audit import AuditTrail
+from waxwinghold._messages.maps import DemandReply, ExpertMap
+from waxwinghold._sheet.index import index_sheet
+from waxwinghold_bench.placement_bench import ARCHIVE, GUILD
+from waxwinghold_standins._experts import ExpertDemand
+
+GROUP = "fitting-a"
+STEPS_COUNT = 100
+
+
+def make_index(
+    *, ranks_count, weights=GUILD, layers_count=1, names=None, ranks_each_count=1
+):
+    """Return the index of a sheet with one group of 64 experts a layer."""
+    sheet = make_sheet()
+    starts = range(0, ranks_count, ranks_each_count)
+    names = names or [f"fitting-{start:02}" for start in starts]
+    model = replace(sheet.models[0], experts_count=64, layers_count=layers_count)
+    service = replace(sheet.services[0], placement=weights)
+    targets = [
+        make_target(
+            start, name=name, ranks=tuple(range(start, start + ranks_each_count))
+        )
+        for start, name in zip(starts, names, strict=True)
+    ]
+    return index_sheet(
+        replace(
+            sheet,
+            models=(model,),
+            services=(service,),
+            groups=(replace(sheet.groups[0], ranks_count=ranks_count),),
+            targets=tuple(targets),
+        )
+    )
+
+
+async def in_place(function, *arguments):
+    """Call at once: virtual time does not wait for threads."""
+    return function(*arguments)
+
+
+class Engine:
+    """The counts of one engine."""
+
+    def __init__(self, **options):
+        self.demand = ExpertDemand(**{"step_tokens_count": 1000} | options)
+        self.since_step = 0
+
+    async def read(self, path):
+        layers = self.demand.counts()
+        return {"layers": layers, "since_step": self.since_step}
+
+    def run(self, steps_count):
+        for _ in range(steps_count):
+            self.demand.add_step(0)
+
+
+class Keeper:
+    """The group's map, changed without a protocol; its own member, too."""
+
+    settled = True
+
+    def __init__(self):
+        self.member = self
+        self.target = None
+        self.changes = []
+
+    async def change_to(self, expert_map):
+        self.target = expert_map
+        self.changes.append(expert_map)
+        return expert_map
+
+
+class Link:
+    """One agent's way to the others of its group."""
+
+    def __init__(self, *, fleet, name):
+        self._fleet = fleet
+        self._own_name = name
+        self.name = GROUP
+        self.keeper = fleet.keeper
+
+    @property
+    def members(self):
+        return tuple(sorted(self._fleet.rebalancers))
+
+    def live_members(self):
+        return tuple(name for name in self.members if name not in self._fleet.dead)
+
+    def send(self, name, message):
+        if not self._fleet.loses(message):
+            receiver = self._fleet.rebalancers[name]
+            loop = asyncio.get_running_loop()
+            loop.call_soon(receiver.on_message, self._own_name, message)
+
+
+class Fleet:
+    """The rebalancers of one group, on engines that count."""
+
+    def __init__(self, *, index, engine_options=None, **options):
+        self.index = index
+        self.keeper = Keeper()
+        self.dead = set()
+        self.loses = lambda message: False
+        self.clock = ManualClock()
+        self.audit = AuditTrail(clock=self.clock, limit_count=100, process="a")
+        names = [target.name for target in index.targets_by_group[GROUP]]
+        self.engines = {name: Engine(**engine_options or {}) for name in names}
+        self.rebalancers = {}
+        for name in names:
+            self.rebalancers[name] = Rebalancer(
+                name=name,
+                group=Link(fleet=self, name=name),
+                index=lambda: self.index,
+                read=self.engines[name].read,
+                clock=self.clock,
+                audit=self.audit,
+                reply_limit_ms=50.0,
+                **options,
+            )
+        self.planner = self.rebalancers[min(names)]
+
+    async def start(self):
+        self.keeper.target = await self.planner.first_map()
+        await self.read()
+
+    async def read(self):
+        for rebalancer in self.rebalancers.values():
+            await rebalancer.meter.take_reading()
+
+    async def interval(self):
+        """Let an interval pass, with every agent's look at the demand."""
+        self.run_engines()
+        await self.read()
+        for rebalancer in self.rebalancers.values():
+            await rebalancer.rebalance()
+
+    def run_engines(self, *, steps_count=STEPS_COUNT):
+        self.clock.advance_ms(int(REBALANCE_INTERVAL_MS))
+        for engine in self.engines.values():
+            engine.run(steps_count)
+
+    def drift(self, seed):
+        for engine in self.engines.values():
+            engine.demand.drift_to(seed)
+
+
+class RebalancingTests(unittest.IsolatedAsyncioTestCase):
+    async def fleet(self, *, ranks_count=4, weights=GUILD, **options):
+        index = make_index(ranks_count=ranks_count, weights=weights)
+        fleet = Fleet(index=index, **options)
+        await fleet.start()
+        return fleet
+
+    async def test_even_demand_changes_nothing(self):
+        fleet = await self.fleet(engine_options={"zipf": 0.0})
+        for _ in range(3):
+            await fleet.interval()
+        self.assertEqual(fleet.keeper.changes, [])
+
+    async def test_drifted_demand_leads_to_one_change(self):
+        fleet = await self.fleet()
+        for _ in range(3):
+            await fleet.interval()
+        self.assertEqual(len(fleet.keeper.changes), 1)
+        (entry,) = fleet.audit.since(0)
+        before, after = (float(text.split()[1]) for text in (entry.before, entry.after))
+        self.assertLess(after, 1.05)
+        self.assertLess(after, before)
+        self.assertRegex(entry.reason, r"^[1-9]\d* experts moved")
+        held = plans_of(fleet.keeper.target, layout_of(fleet.index, GROUP))
+        self.assertIsNotNone(held)
+
+    async def test_demand_that_drifts_again_is_followed(self):
+        fleet = await self.fleet()
+        await fleet.interval()
+        fleet.drift(5)
+        for _ in range(4):
+            await fleet.interval()
+        self.assertGreaterEqual(len(fleet.keeper.changes), 2)
+        self.assertLess(float(fleet.audit.since(0)[-1].after.split()[1]), 1.05)
+
+    async def test_the_archive_moves_less_than_the_guild(self):
+        moved = {}
+        for name, weights in (("guild", GUILD), ("archive", ARCHIVE)):
+            fleet = await self.fleet(ranks_count=16, weights=weights)
+            for seed in (1, 2, 3):
+                fleet.drift(seed)
+                await fleet.interval()
+                await fleet.interval()
+            entries = fleet.audit.since(0)
+            moved[name] = sum(int(entry.reason.split()[0]) for entry in entries)
+        self.assertLess(0, moved["archive"])
+        self.assertLess(moved["archive"], moved["guild"])
+
+    async def test_a_lost_reply_only_puts_the_change_off(self):
+        fleet = await self.fleet()
+        fleet.loses = lambda message: isinstance(message, DemandReply)
+        await fleet.interval()
+        self.assertEqual(fleet.keeper.changes, [])
+        fleet.loses = lambda message: False
+        await fleet.interval()
+        self.assertEqual(len(fleet.keeper.changes), 1)
+
+    async def test_a_group_that_is_not_all_live_is_left_alone(self):
+        fleet = await self.fleet()
+        fleet.dead.add("fitting-02")
+        await fleet.interval()
+        self.assertEqual(fleet.keeper.changes, [])
+
+    async def test_a_restarted_engine_gives_no_demand_until_it_counted_anew(self):
+        fleet = await self.fleet()
+        fleet.engines["fitting-01"].since_step = 7
+        await fleet.interval()
+        self.assertEqual(fleet.keeper.changes, [])
+        await fleet.interval()
+        self.assertEqual(len(fleet.keeper.changes), 1)
+
+    async def test_a_few_tokens_move_nothing(self):
+        fleet = await self.fleet(engine_options={"step_tokens_count": 100})
+        fleet.run_engines(steps_count=1)
+        await fleet.read()
+        await fleet.planner.rebalance()
+        self.assertEqual(fleet.keeper.changes, [])
+
+    async def test_a_map_of_another_layout_is_not_taken_for_the_plan_in_force(self):
+        fleet = await self.fleet()
+        layout = layout_of(fleet.index, GROUP)
+        first = fleet.keeper.target
+        self.assertEqual(map_of(plans_of(first, layout), layout), first)
+        self.assertIsNone(plans_of(ExpertMap(map_id="m"), layout))
+        for name in ("0/0/64", "9/0/1", "0/1/1", "x"):
+            experts = {**first.experts, "fitting-00": (name,)}
+            broken = ExpertMap(map_id="m", experts=experts)
+            self.assertIsNone(plans_of(broken, layout), name)
+
+    async def test_a_change_that_failed_teaches_the_planner_nothing(self):
+        fleet = await self.fleet()
+        planners = fleet.planner._planner_copies(layout_of(fleet.index, GROUP))
+        fleet.planner._planners = planners
+        known = dict(vars(planners[0]))
+
+        async def refuse(expert_map):
+            raise TimeoutError
+
+        fleet.keeper.change_to = refuse
+        with self.assertRaises(TimeoutError):
+            await fleet.interval()
+        self.assertEqual(vars(fleet.planner._planners[0]), known)
+
+    async def test_planning_does_not_block_the_event_loop(self):
+        index = make_index(ranks_count=64, layers_count=30, ranks_each_count=16)
+        fleet = Fleet(index=index, engine_options={"layers_count": 30})
+        await fleet.start()
+        fleet.run_engines()
+        await fleet.read()
+        gaps_s, spent_s = [], []
+
+        async def tick():
+            while True:
+                begun = time.perf_counter()
+                await asyncio.sleep(0.002)
+                gaps_s.append(time.perf_counter() - begun)
+
+        plan_layer = fleet.planner._plan_layer
+
+        def timed(*arguments):
+            begun = time.perf_counter()
+            plan = plan_layer(*arguments)
+            spent_s.append(time.perf_counter() - begun)
+            return plan
+
+        fleet.planner._plan_layer = timed
+        ticking = asyncio.create_task(tick())
+        await fleet.planner.rebalance()
+        # The tick that was due meanwhile must be counted as well.
+        await asyncio.sleep(0.01)
+        ticking.cancel()
+        self.assertEqual(len(spent_s), 30)
+        self.assertEqual(len(fleet.keeper.changes), 1)
+        self.assertLess(max(gaps_s), 0.1)
+        self.assertLess(0.2, sum(spent_s))
+
+
+class WorldLink:
+    """The group's keeper of a ``World``, and links that are all up."""
+
+    def __init__(self, *, world, name, rebalancers):
+        self.name = GROUP
+        self.members = world.names
+        self.keeper = world.current[name].keeper
+        self._world = world
+        self._own_name = name
+        self._rebalancers = rebalancers
+
+    def send(self, name, message):
+        receiver = self._rebalancers[name]
+        self._world.after(0.5, receiver.on_message, self._own_name, message)
+
+
+class TwoPlannersTests(unittest.TestCase):
+    def test_two_planners_at_once_leave_the_group_on_one_map(self):
+        run_world(self._two_planners)
+
+    async def _two_planners(self):
+        names = ("a", "b", "c")
+        index = make_index(ranks_count=len(names), names=names)
+        world = World(names=names, seed=1)
+        await world.sleep_ms(3000)
+        engine = Engine()
+        rebalancers = {}
+        audit = AuditTrail(clock=ManualClock(), limit_count=100, process="a")
+        for name in names:
+            group = WorldLink(world=world, name=name, rebalancers=rebalancers)
+            rebalancers[name] = Rebalancer(
+                name=name,
+                group=group,
+                index=lambda: index,
+                read=engine.read,
+                clock=world.current[name].clock,
+                audit=audit,
+                in_thread=in_place,
+            )
+            # Both take themselves for the planner.
+            rebalancers[name]._plans = lambda layout: True
+        for _ in range(2):
+            for rebalancer in rebalancers.values():
+                await rebalancer.meter.take_reading()
+            engine.run(STEPS_COUNT)
+            await world.sleep_ms(REBALANCE_INTERVAL_MS)
+        both = [rebalancers[name].rebalance() for name in ("a", "b")]
+        outcomes = await asyncio.gather(*both, return_exceptions=True)
+        await world.sleep_ms(REBALANCE_INTERVAL_MS)
+        self.assertEqual(world.mixed_count, 0)
+        (map_id,) = world.maps_in_use()
+        self.assertTrue(map_id.startswith("plan@"), (map_id, outcomes))
+        self.assertEqual(len(audit.since(0)), 1, outcomes)
+        await world.close()
