Give stand-in engines the experts of their model

Cause: a stand-in counted one layer of experts, while the example's model has 24; the rebalancer found the demand unknown and left every group alone. Ruled out: a lost reply; all four agents of each group had answered. Before: no map in 20 s.

--- a/src/waxwinghold_bench/target_standins.py
+++ b/src/waxwinghold_bench/target_standins.py
@@ -22,6 +22,7 @@
     def __init__(self, *, sheet, places, options, lock_step, fleet):
         self._rows = {row["name"]: row for row in sheet["targets"]}
         self._kinds = {row["name"]: row["kind"] for row in sheet["services"]}
+        self._experts = _experts_options(sheet)
         self._places = places
         self._options = options
         self._fleet = fleet
@@ -61,7 +62,7 @@
         kind = self._kinds[row["service"]]
         options = dict(self._options[kind])
         if kind == "model":
-            options |= _engine_options(row)
+            options |= _engine_options(row) | self._experts.get(row["service"], {})
         self._fleet.start_standin(
             _child_name(target),
             STANDINS[kind],
@@ -73,7 +74,9 @@
         control = free_addresses(1)[0]
         self._controls[group] = f"http://{control}"
         addresses = [self._places[target].http_address for target in targets]
-        options = self._options["model"] | _engine_options(self._rows[targets[0]])
+        row = self._rows[targets[0]]
+        options = self._options["model"] | _engine_options(row)
+        options |= self._experts.get(row["service"], {})
         self._fleet.start_standin(
             _child_name(group),
             "lock_step",
@@ -102,6 +105,18 @@
     }
 
 
+def _experts_options(sheet):
+    """Return what an engine must know of its model's experts, by service."""
+    models = {row["name"]: row for row in sheet.get("models", ())}
+    options = {}
+    for service in sheet["services"]:
+        model = models.get(service.get("model", ""), {})
+        if model.get("experts_count"):
+            counts = {key: model[key] for key in ("experts_count", "layers_count")}
+            options[service["name"]] = {"experts": counts}
+    return options
+
+
 def _groups(sheet):
     """Return the names of each group's targets, by group."""
     groups = {}
