--- a/src/waxwinghold_bench/bench.py
+++ b/src/waxwinghold_bench/bench.py
@@ -1,6 +1,7 @@
 """``make bench``: ours beside a naive relay and the bare engines, in one run."""
 
 import asyncio
+import dataclasses
 import itertools
 import os
 import pathlib
@@ -22,11 +23,15 @@
 ENGINE_OPTIONS = {"step_ms": 20}
 TOKENS_COUNT = 32
 CALLERS_COUNTS = (1, 16, 256)
+# The share of one of 350 entries in 3,200 requests and a million tokens a second.
+PEAK_CALLERS_COUNT = 57
+PEAK_TOKENS_COUNT = 312
 WARM_UP_S = 1.0
 IDLE_WINDOW_S = 10.0
 MIB = 1024 * 1024
 LOAD_HEADERS = (
     "callers",
+    "tokens each",
     "way",
     "requests/s",
     "tokens/s",
@@ -204,8 +209,11 @@
 
 async def _print_loads(ways, duration_s):
     rows = []
-    for callers_count in CALLERS_COUNTS:
+    loads = [(count, TOKENS_COUNT) for count in CALLERS_COUNTS]
+    loads.append((PEAK_CALLERS_COUNT, PEAK_TOKENS_COUNT))
+    for callers_count, tokens_count in loads:
         for way in ways:
+            way = dataclasses.replace(way, tokens_count=tokens_count)
             await run_load(
                 make_call=way.make_call, callers_count=callers_count, duration_s=0.5
             )
@@ -231,6 +239,7 @@
     ]
     return (
         callers_count,
+        way.tokens_count,
         way.name,
         f"{result.requests_per_second:.1f}",
         f"{result.tokens_count / result.elapsed_s:.0f}",
