--- a/src/waxwinghold_bench/demo.py
+++ b/src/waxwinghold_bench/demo.py
@@ -13,7 +13,7 @@
 from .children import ChildError
 from .demo_steps import STEPS, Outcome, Scene
 from .examples import EXAMPLES
-from .fleet import Fleet
+from .fleet import Fleet, NotReadyError
 
 ENTRIES_PER_DATA_CENTRE_COUNT = 3
 STEP_LIMIT_S = 20
@@ -51,7 +51,7 @@
                 name = title.format(**example.words)
                 outcome = await _outcome(function, scene)
                 rows.append(Row(example=example.name, step=name, outcome=outcome))
-    except (ChildError, TimeoutError) as error:
+    except (ChildError, NotReadyError) as error:
         outcome = Outcome(expected="a fleet that is up", seen=repr(error))
         rows.append(Row(example=example.name, step="start", outcome=outcome))
     return rows
--- a/src/waxwinghold_bench/fleet.py
+++ b/src/waxwinghold_bench/fleet.py
@@ -5,9 +5,12 @@
 import json
 import pathlib
 import tempfile
+import time
 
 import aiohttp
 
+from waxwinghold._tool.asking import UnreachableError
+
 from .children import Child
 from .places import free_addresses, make_places, process_settings
 from .status import StatusReader
@@ -20,6 +23,10 @@
 STANDIN_PACKAGE = "waxwinghold_standins"
 
 
+class NotReadyError(Exception):
+    """A fleet that did not come up; the message names the entry and the lack."""
+
+
 class Fleet:
     """A platform, entries, and an agent with a stand-in for each target.
 
@@ -137,12 +144,17 @@
 
         Raises:
             ChildError: A process ended instead.
-            TimeoutError: Something is not ready in time.
+            NotReadyError: Something is not ready in time.
         """
         targets_count = targets_count or len(self.agents)
-        async with asyncio.timeout(READY_LIMIT_S):
-            for entry in self.entries.values():
-                await self._until_ready(entry, targets_count)
+        deadline_s = time.monotonic() + READY_LIMIT_S
+        for entry in self.entries.values():
+            while missing := await self._missing(entry, targets_count):
+                if time.monotonic() > deadline_s:
+                    raise NotReadyError(f'entry "{entry.name}": {missing}')
+                for child in self.children.values():
+                    child.check()
+                await asyncio.sleep(READY_POLL_S)
 
     async def status(self, place):
         """Return the status of an entry or an agent, in plain types."""
@@ -196,19 +208,19 @@
             if isinstance(outcome, BaseException):
                 child.kill()
 
-    async def _until_ready(self, entry, targets_count):
-        while not await self._is_ready(entry, targets_count):
-            for child in self.children.values():
-                child.check()
-            await asyncio.sleep(READY_POLL_S)
-
-    async def _is_ready(self, entry, targets_count):
+    async def _missing(self, entry, targets_count):
+        """Return what an entry lacks to be ready, or an empty text."""
         if not await self._answers_health(entry):
-            return False
-        status = await self.status(entry)
+            return "the health check fails: no sheet is in force, or it is down"
+        try:
+            status = await self.status(entry)
+        except UnreachableError as error:
+            return str(error)
         targets = status["targets"].values()
         up = [one for one in targets if one["takes_work"] and one["healthy"]]
-        return len(up) >= targets_count
+        if len(up) < targets_count:
+            return f"{len(up)} of {targets_count} targets are up"
+        return ""
 
     async def _answers_health(self, entry):
         timeout = aiohttp.ClientTimeout(total=ANSWER_LIMIT_S)
