--- /dev/null
+++ b/tests/test_intruders.py
@@ -0,0 +1,174 @@
+"""Nobody gets in, and whatever is sent, the processes stay up and serve."""
+
+import asyncio
+import contextlib
+import random
+
+import zmq
+import zmq.asyncio
+
+from waxwinghold._messages import DrainOrder, Hello, Submit, encode
+
+from .support.case import FleetCase
+from .support.fleet import TWO_ENGINES, TWO_WORKERS
+from .support.published import AGENT_KEYS, ENTRY_KEYS, OPERATOR_KEYS, key_pair
+from .test_path_once import key_of
+
+SEED = 20260
+FRAMES_COUNT = 400
+ALTERATIONS_COUNT = 60
+ANSWER_LIMIT_S = 0.6
+
+
+def hello(role):
+    """Return a greeting that claims ``role``."""
+    return Hello(
+        name="intruder",
+        role=role,
+        data_centre="nadi",
+        incarnation="x",
+        now_ms=0,
+    )
+
+
+def submit():
+    """Return a well-formed request for the booking desk."""
+    return Submit(
+        request_id="intruder",
+        attempt=1,
+        service="booking",
+        version="v1",
+        call="note",
+        customer="suva",
+        priority=0,
+        deadline_at_ms=1e15,
+        body=b"x",
+        content_type="",
+        digest="d",
+    )
+
+
+class IntrudersTest(FleetCase):
+    def connect(self, node, keys):
+        """Return a socket to a node's link, with ``keys``."""
+        context = zmq.asyncio.Context()
+        self.addCleanup(context.destroy, 0)
+        socket = context.socket(zmq.DEALER)
+        socket.linger = 0
+        socket.curve_publickey, socket.curve_secretkey = (k.encode() for k in keys)
+        socket.curve_serverkey = node.settings.link_public_key.encode()
+        socket.connect(node.settings.link_address)
+        return socket
+
+    async def send_all(self, socket, *messages):
+        """Send messages and give them time to arrive."""
+        for message in messages:
+            await self.send_raw(socket, encode(message))
+        await asyncio.sleep(ANSWER_LIMIT_S)
+
+    async def send_raw(self, socket, frame):
+        """Send bytes; a refused connection takes nothing and never says so."""
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(socket.send(frame), ANSWER_LIMIT_S)
+
+    async def assert_serves(self, fleet):
+        """Fail unless every process is up and callers are served."""
+        nodes = [*fleet.entries.values(), *fleet.agents.values()]
+        self.assertTrue(all(node.up for node in nodes))
+        await fleet.until_ready()
+        for entry in fleet.entries:
+            self.assert_answered(await fleet.caller().call(entry, "stock", b"x"))
+
+    async def test_a_peer_without_a_known_key_gets_nowhere(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        agent = fleet.agents["booking-a"]
+        socket = self.connect(agent, key_pair())
+        await self.send_all(socket, hello("entry"), submit())
+        self.assertGreater(agent.process.key_ring.refused_count, 0)
+        self.assertEqual(0, fleet.effects_count("note"))
+        await self.assert_serves(fleet)
+
+    async def test_a_known_key_proves_no_other_role(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        for keys, claimed in ((AGENT_KEYS, "entry"), (OPERATOR_KEYS, "entry")):
+            socket = self.connect(fleet.agents["booking-a"], keys)
+            await self.send_all(socket, hello(claimed), submit())
+        self.assertEqual(0, fleet.effects_count("note"))
+
+    async def test_only_an_entry_may_submit(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        for keys, role in ((AGENT_KEYS, "agent"), (OPERATOR_KEYS, "operator")):
+            socket = self.connect(fleet.agents["booking-a"], keys)
+            await self.send_all(socket, hello(role), submit())
+        self.assertEqual(0, fleet.effects_count("note"))
+
+    async def test_an_order_counts_only_from_an_operator(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        order = DrainOrder(query_id="q", operator="eve", reason="mischief")
+        for node in (fleet.agents["booking-a"], fleet.entries["entry-a"]):
+            for keys, role in ((ENTRY_KEYS, "entry"), (AGENT_KEYS, "agent")):
+                socket = self.connect(node, keys)
+                await self.send_all(socket, hello(role), order)
+                self.assertFalse(node.process.leaving)
+        await self.assert_serves(fleet)
+
+    async def test_another_customers_name_token_and_key_are_refused(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        own, other = fleet.caller("suva"), fleet.caller("tour-desk")
+        key, _ = await key_of(own, "entry-a")
+        stolen = await other.call("entry-b", "hold", b"x", key=key)
+        self.assertEqual(("key_mismatch", 422), (stolen.code, stolen.status))
+        posing = await other.send(
+            "entry-a",
+            "POST",
+            "/v1/services/booking/calls/stock",
+            headers={"Waxwing-Customer": "suva"},
+        )
+        self.assertEqual(401, posing.status)
+        self.assertEqual(0, fleet.effects_count("hold") + fleet.effects_count("stock"))
+
+    async def test_altered_keys_are_refused(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        caller = fleet.caller()
+        key, _ = await key_of(caller, "entry-a")
+        rng = random.Random(SEED)
+        for _ in range(ALTERATIONS_COUNT):
+            place = rng.randrange(len(key) - 1)
+            letter = rng.choice([one for one in "AZaz09-_" if one != key[place]])
+            altered = key[:place] + letter + key[place + 1 :]
+            outcome = await caller.call("entry-a", "hold", b"x", key=altered)
+            self.assertEqual("malformed_key", outcome.code, f"seed {SEED}: {altered}")
+        self.assertEqual(0, fleet.effects_count("hold"))
+
+    async def test_fuzzed_frames_leave_the_processes_up(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        rng = random.Random(SEED)
+        whole = [encode(hello("entry")), encode(submit())]
+        for node in (fleet.agents["booking-a"], fleet.entries["entry-a"]):
+            socket = self.connect(node, ENTRY_KEYS)
+            await self.send_all(socket, hello("entry"))
+            for _ in range(FRAMES_COUNT):
+                frame = bytearray(rng.choice(whole))
+                for _ in range(rng.randrange(1, 6)):
+                    frame[rng.randrange(len(frame))] = rng.randrange(256)
+                await self.send_raw(
+                    socket, bytes(frame[: rng.randrange(len(frame) + 1)])
+                )
+            await self.send_raw(socket, rng.randbytes(8 * 1024 * 1024))
+            await asyncio.sleep(ANSWER_LIMIT_S)
+            self.assertGreater(node.process.server.malformed_count, 0, f"seed {SEED}")
+        await self.assert_serves(fleet)
+
+    async def test_oversized_and_malformed_http_leaves_the_entry_up(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS | TWO_ENGINES)
+        caller = fleet.caller()
+        large = await caller.call("entry-a", "stock", b"x" * (2 * 1024 * 1024))
+        self.assertIn(large.status, (413, 0))
+        path = "/v1/services/booking/calls/stock"
+        header = {"Waxwing-Version": "v" * 20_000}
+        refused = await caller.send("entry-a", "POST", path, headers=header)
+        self.assertEqual(400, refused.status)
+        for body in (b"{", b"[" * 100_000, b'{"prompt": 1}', b"\xff\xfe"):
+            outcome = await caller.call("entry-a", "advice", body, service="fitting")
+            self.assertEqual(("bad_request", 400), (outcome.code, outcome.status))
+        await self.assert_serves(fleet)
