Let only entries submit, and answer an oversized body as such

Cause: an agent took a submit from any known key, so that an agent's or an operator's key ran a request; and the answer to an oversized body read an attribute that the library's error does not have, so that the caller got 500. Ruled out: the CURVE keys and the roles of greetings; both are checked. Before: test_only_an_entry_may_submit saw 1 effect, and test_oversized_and_malformed_http_leaves_the_entry_up got status 500. After: python -m nose2 tests.test_intruders: 9 passed, 0 failed. Conclusion: an agent refuses and counts messages that only entries send.

--- a/src/waxwinghold/_agent/handler.py
+++ b/src/waxwinghold/_agent/handler.py
@@ -35,6 +35,7 @@
 
 log = logbook.Logger("agent")
 
+ENTRY_MESSAGES = Submit | Cancel | Resume | Detach | Probe | SheetFull | SheetDelta
 ENTRY_ROLE = "entry"
 HOUSEKEEPING_INTERVAL_MS = 500
 DETACHED_LIMIT_MS = 10_000
@@ -74,7 +75,10 @@
 
     async def on_message(self, connection, message):
         """Handle one message of an entry or an operator."""
-        if isinstance(message, Submit):
+        if isinstance(message, ENTRY_MESSAGES) and connection.key.role != ENTRY_ROLE:
+            self._process.server.refused_count += 1
+            log.warn('"{}" sent a message that only entries send', connection.name)
+        elif isinstance(message, Submit):
             self._submit(connection, message)
         elif isinstance(message, Cancel):
             self._cancel(message)
--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -63,8 +63,9 @@
             return await handler(request)
         except RequestError as error:
             return self._refuse(error)
-        except web.HTTPRequestEntityTooLarge as error:
-            return self._refuse(BodyTooLargeError(limit_bytes=error.max_size))
+        except web.HTTPRequestEntityTooLarge:
+            limit_bytes = self._process.settings.body_limit_bytes
+            return self._refuse(BodyTooLargeError(limit_bytes=limit_bytes))
         except (web.HTTPException, ConnectionError):
             raise
         except Exception:
--- a/tests/test_intruders.py
+++ b/tests/test_intruders.py
@@ -3,11 +3,14 @@
 import asyncio
 import contextlib
 import random
+from dataclasses import replace
 
 import zmq
 import zmq.asyncio
 
-from waxwinghold._messages import DrainOrder, Hello, Submit, encode
+from waxwinghold._messages import DrainOrder, Hello, SheetFull, Submit, encode
+from waxwinghold._sheet.compression import compress
+from waxwinghold._sheet.reading import sheet_digest, write_sheet
 
 from .support.case import FleetCase
 from .support.fleet import TWO_ENGINES, TWO_WORKERS
@@ -102,6 +105,23 @@
             await self.send_all(socket, hello(role), submit())
         self.assertEqual(0, fleet.effects_count("note"))
 
+    async def test_only_an_entry_brings_a_sheet(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        sheet = replace(fleet.entries["entry-a"].process.store.current, version=99)
+        forged = SheetFull(
+            version=99,
+            digest=sheet_digest(sheet),
+            document=compress(write_sheet(sheet)),
+        )
+        nodes = (fleet.agents["booking-a"], fleet.entries["entry-a"])
+        for node in nodes:
+            for keys, role in ((AGENT_KEYS, "agent"), (OPERATOR_KEYS, "operator")):
+                await self.send_all(self.connect(node, keys), hello(role), forged)
+            self.assertEqual(1, node.process.store.version)
+        socket = self.connect(nodes[0], ENTRY_KEYS)
+        await self.send_all(socket, hello("entry"), forged)
+        self.assertEqual(99, nodes[0].process.store.version)
+
     async def test_an_order_counts_only_from_an_operator(self):
         fleet = await self.start_fleet(targets=TWO_WORKERS)
         order = DrainOrder(query_id="q", operator="eve", reason="mischief")
