--- a/src/waxwinghold/_process.py
+++ b/src/waxwinghold/_process.py
@@ -28,6 +28,7 @@
 log = logbook.Logger("process")
 
 DRAIN_CHECK_INTERVAL_MS = 50
+LAST_FRAMES_MS = 100
 SPREAD_INTERVAL_MS = 250
 
 
@@ -132,6 +133,8 @@
             await self._stop.wait()
             await self.await_notice()
             await self._finish_in_flight()
+            # The last answers are on their way in the sockets' queues.
+            await self.clock.sleep_ms(LAST_FRAMES_MS)
         finally:
             await self.stop_role()
             if site is not None:
