--- a/src/waxwinghold/_agent/handler.py
+++ b/src/waxwinghold/_agent/handler.py
@@ -35,6 +35,7 @@
 
 log = logbook.Logger("agent")
 
+ENTRY_MESSAGES = Submit | Cancel | Resume | Detach | Probe | SheetFull | SheetDelta
 ENTRY_ROLE = "entry"
 AGENT_ROLE = "agent"
 HOUSEKEEPING_INTERVAL_MS = 500
@@ -75,9 +76,13 @@
 
     async def on_message(self, connection, message):
         """Handle one message of an entry, another agent or an operator."""
-        if connection.key.role == ENTRY_ROLE:
+        role = connection.key.role
+        if role == ENTRY_ROLE:
             self._on_entry_message(connection, message)
-        elif connection.key.role == AGENT_ROLE:
+        elif isinstance(message, ENTRY_MESSAGES):
+            self._process.server.refused_count += 1
+            log.warn('"{}" sent a message that only entries send', connection.name)
+        elif role == AGENT_ROLE:
             self._process.group.take(connection.name, message)
         else:
             self._process.on_operator_message(connection, message)
