Bound an entry's links, reach beyond them, and believe a missed health check twice

Ruled out: a higher limit of the check, which would hide a paused target longer. Conclusion: two checks in a row count, and an idempotent call may try a target that only looks ill when none looks well.

--- a/src/waxwinghold/_agent/monitor.py
+++ b/src/waxwinghold/_agent/monitor.py
@@ -5,9 +5,11 @@
 
 from .._messages import Report
 from .._sheet.model import Kind
+from .target import Health
 
 REPORTED_PREFIXES_COUNT = 8
 KEPT_PREFIXES_COUNT = 1024
+SILENT_LIMIT_COUNT = 2
 
 
 class TargetMonitor:
@@ -28,20 +30,31 @@
         self._load_ms = 0.0
         self._prefixes = OrderedDict()
         self._last_event = 0
+        self._silent_count = 0
         self.healthy = False
 
     async def run(self):
         """Poll until cancelled."""
         while True:
-            self.healthy = await self._client.is_healthy()
+            await self.check()
             if self._kind() == Kind.MODEL and self.healthy:
                 await asyncio.gather(self._read_load(), self._read_cache_events())
             await self._clock.sleep_ms(self._interval_ms)
 
     async def check(self):
-        """Check the target's health now and return it."""
-        self.healthy = await self._client.is_healthy()
-        return self.healthy
+        """Check the target now and return whether it is healthy.
+
+        One check without an answer says little on a busy host: only the second
+        in a row counts.
+        """
+        health = await self._client.health()
+        if health is Health.SILENT:
+            self._silent_count += 1
+            self.healthy = self.healthy and self._silent_count < SILENT_LIMIT_COUNT
+        else:
+            self._silent_count = 0
+            self.healthy = health is Health.GOOD
+        return health is Health.GOOD
 
     def report(
         self, *, waiting_count, running_count, slots_count, ready, queue_wait_ms
--- a/src/waxwinghold/_agent/target.py
+++ b/src/waxwinghold/_agent/target.py
@@ -1,6 +1,7 @@
 """The agent's client of its target: a model engine or a plain service."""
 
 import asyncio
+import enum
 from dataclasses import dataclass
 
 import aiohttp
@@ -16,6 +17,14 @@
 RESUME_INTERVAL_MS = 50
 
 
+class Health(enum.Enum):
+    """What a health check of the target shows."""
+
+    GOOD = "good"
+    BAD = "bad"
+    SILENT = "silent"
+
+
 @dataclass(frozen=True, kw_only=True)
 class PlainAnswer:
     """What a target answered to a call that is not streamed."""
@@ -58,25 +67,33 @@
         await self._fresh.close()
 
     async def is_healthy(self):
-        """Return whether the target answers its health check now.
+        """Return whether the target answers its health check now."""
+        return await self.health() is Health.GOOD
+
+    async def health(self):
+        """Return what a health check shows now.
 
-        A pooled connection may have gone silent, so that only an answer over it
-        counts; anything else is checked over a new one.
+        A pooled connection may have gone silent, so that only a good answer
+        over it counts; anything else is checked over a new one.
         """
-        return await self._answers_health(self._pooled) or (
-            await self._answers_health(self._fresh)
-        )
+        if await self._check_health(self._pooled) is Health.GOOD:
+            return Health.GOOD
+        return await self._check_health(self._fresh)
 
-    async def _answers_health(self, session):
+    async def _check_health(self, session):
         timeout = aiohttp.ClientTimeout(total=HEALTH_LIMIT_MS / 1000)
         try:
             async with session.get(f"{self._url}/health", timeout=timeout) as response:
                 document = await response.json()
-                # An engine whose steps stand answers all the same.
-                stands = not document.get("steps_running", True)
-                return bool(document.get("healthy")) and not stands
-        except (aiohttp.ClientError, TimeoutError, ValueError, AttributeError):
-            return False
+        except TimeoutError:
+            return Health.SILENT
+        except (aiohttp.ClientError, ValueError):
+            return Health.BAD
+        if not isinstance(document, dict):
+            return Health.BAD
+        # An engine whose steps stand answers all the same.
+        stands = not document.get("steps_running", True)
+        return Health.GOOD if document.get("healthy") and not stands else Health.BAD
 
     async def load(self):
         """Return the engine's load, or ``None`` where it cannot be read."""
--- a/src/waxwinghold/_entry/fleet.py
+++ b/src/waxwinghold/_entry/fleet.py
@@ -1,16 +1,19 @@
 """The targets that an entry keeps links to."""
 
+import collections
 import hashlib
 
 from .._sheet.index import index_sheet
 from .seat import TargetSeat
 
+REACH_LIMIT_MS = 1000
+
 
 class Fleet:
     """Keeps a link to each target that this entry may use.
 
-    Targets of the own data centre come first; of the others a number is
-    chosen by rendezvous hashing, so that entries spread over them.
+    Within the settings' limit each version gets its links in turn, those of
+    the own data centre first; rendezvous hashing spreads entries over them.
 
     Args:
         process: The ``EntryProcess``.
@@ -34,6 +37,21 @@
             else:
                 self.seats[name] = TargetSeat(process=self._process, row=row)
 
+    async def reach(self, name):
+        """Return the seat of a target that a key or token names, or ``None``.
+
+        Another entry may keep a link to it while this one does not: then one
+        is opened for now, until the next sheet.
+        """
+        seat = self.seats.get(name)
+        if seat is None:
+            row = self.index.targets.get(name)
+            if row is None:
+                return None
+            seat = self.seats[name] = TargetSeat(process=self._process, row=row)
+            await seat.link.wait_up(limit_ms=REACH_LIMIT_MS)
+        return seat
+
     def seats_of(self, *, service, version):
         """Return the seats of a version's targets, by name."""
         return {
@@ -57,12 +75,22 @@
         self._process.spawn(seat.retire(limit_ms=limit_ms))
 
     def _wanted_rows(self, sheet):
+        """Return the targets to keep links to, at most the settings' limit.
+
+        Each version gets its first target before any gets its second, so that
+        a small service is not left out.
+        """
         own = self._process.settings.data_centre
+        ranked = sorted(sheet.targets, key=self._weight, reverse=True)
+        ranked.sort(key=lambda row: row.data_centre != own)
+        counts = collections.Counter()
+        placed = []
+        for row in ranked:
+            placed.append((counts[row.service, row.version], row))
+            counts[row.service, row.version] += 1
+        placed.sort(key=lambda item: item[0])
         limit_count = self._process.settings.targets_limit_count
-        near = [row for row in sheet.targets if row.data_centre == own]
-        far = [row for row in sheet.targets if row.data_centre != own]
-        far.sort(key=self._weight, reverse=True)
-        return near + far[: max(0, limit_count - len(near))]
+        return [row for _, row in placed[:limit_count]]
 
     def _weight(self, row):
         text = f"{self._process.settings.name} {row.name}".encode()
--- a/src/waxwinghold/_entry/http.py
+++ b/src/waxwinghold/_entry/http.py
@@ -149,7 +149,7 @@
             self._process.require_index(), headers
         )
         token = read_token(self._process, request.match_info["token"], customer)
-        self._process.cancel(token)
+        await self._process.cancel(token)
         return web.Response(status=202)
 
     def _check_room(self, *, keyed):
--- a/src/waxwinghold/_entry/peers.py
+++ b/src/waxwinghold/_entry/peers.py
@@ -61,6 +61,11 @@
         }
         self._follow()
 
+    @property
+    def names(self):
+        """The names of the peers that links are kept to."""
+        return frozenset(self._links)
+
     def names_up(self, *, data_centre=None):
         """Return the names of the peers whose links are up."""
         return sorted(
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -80,9 +80,9 @@
         """Return what follows a request that an agent holds."""
         return Resumption(process=self, token=token, offset=offset)
 
-    def cancel(self, token):
+    async def cancel(self, token):
         """Ask the target that a token names to stop its request."""
-        seat = self.fleet.seats.get(token.target)
+        seat = await self.fleet.reach(token.target)
         if seat is not None:
             seat.cancel(request_id=token.request_id, customer=token.customer)
 
@@ -195,6 +195,7 @@
 
     def _hosts_changed(self, host_list):
         self.peers.apply(host_list)
+        self.spreader.expect(self.peers.names)
         self.fleet.note_hosts({host.name: host.state for host in host_list.hosts})
 
     def _sheet_changed(self, old, new):
--- a/src/waxwinghold/_entry/resumption.py
+++ b/src/waxwinghold/_entry/resumption.py
@@ -21,7 +21,7 @@
         self._token = token
         self._offset = offset
         self._exchange = Exchange(request_id=token.request_id)
-        self.seat = process.fleet.seats.get(token.target)
+        self.seat = None
 
     def token(self):
         """Return the token under which the caller can come back again."""
@@ -33,6 +33,7 @@
         Raises:
             RequestError: The target is away, was replaced, or has forgotten.
         """
+        self.seat = await self._process.fleet.reach(self._token.target)
         self._check_home()
         follower = StreamFollower(
             clock=self._process.clock,
--- a/src/waxwinghold/_entry/sending.py
+++ b/src/waxwinghold/_entry/sending.py
@@ -1,5 +1,7 @@
 """Chooses the target of an attempt and sends the request there."""
 
+from dataclasses import replace
+
 from .._errors import (
     DeadlineError,
     KeyHomeLostError,
@@ -52,7 +54,7 @@
             RequestError: No target may get the request; nothing was sent.
         """
         self._check_suspicion()
-        seat = self._choose()
+        seat = await self._choose()
         suspect = self._process.suspects.is_suspect(self._request.digest)
         message = self._submit(seat, given=given, suspect=suspect)
         try:
@@ -99,11 +101,11 @@
             adapter=request.adapter,
         )
 
-    def _choose(self):
+    async def _choose(self):
         if self.left_ms() <= DEADLINE_MARGIN_MS:
             raise DeadlineError("the deadline passed before a target was found")
         if self._request.key is not None:
-            return self._home()
+            return await self._home()
         request = self._request
         seats = self._process.fleet.seats_of(
             service=request.service.name, version=request.version
@@ -113,7 +115,20 @@
             for seat in seats.values()
             if seat.takes_work and seat.has_adapter(request.adapter)
         ]
-        chosen = self._process.policy.choose(
+        chosen = self._choose_among(candidates)
+        if chosen is None and request.idempotent:
+            # Health is known late: a target that only looks ill may answer.
+            chosen = self._choose_among(
+                [replace(candidate, healthy=True) for candidate in candidates]
+            )
+        if chosen is None:
+            raise NoTargetError(service=request.service.name, version=request.version)
+        self._check_wait(chosen)
+        return seats[chosen.name]
+
+    def _choose_among(self, candidates):
+        request = self._request
+        return self._process.policy.choose(
             candidates,
             request=ChoiceRequest(
                 data_centre=self._process.settings.data_centre,
@@ -124,10 +139,6 @@
             ),
             now_ms=self._clock.now_ms(),
         )
-        if chosen is None:
-            raise NoTargetError(service=request.service.name, version=request.version)
-        self._check_wait(chosen)
-        return seats[chosen.name]
 
     def _check_wait(self, candidate):
         wait_ms = self._process.policy.wait_ms(candidate, now_ms=self._clock.now_ms())
@@ -141,10 +152,10 @@
             f"{wait_ms:.0f} ms of work wait for the least busy target"
         )
 
-    def _home(self):
+    async def _home(self):
         """Return the seat of the only target that may run the key."""
         key = self._request.key
-        seat = self._process.fleet.seats.get(key.target)
+        seat = await self._process.fleet.reach(key.target)
         if seat is None or not seat.link.up:
             raise TargetUnreachableError(
                 f'target "{key.target}", which holds the key, cannot be reached'
--- a/src/waxwinghold/_links/client.py
+++ b/src/waxwinghold/_links/client.py
@@ -69,6 +69,7 @@
         self._echoed = 0
         self._offsets_ms = []
         self._beat_now = asyncio.Event()
+        self._came_up = asyncio.Event()
 
     @property
     def up(self):
@@ -99,6 +100,12 @@
         future = self._socket.send(encode(message))
         future.add_done_callback(_consume_error)
 
+    async def wait_up(self, *, limit_ms):
+        """Return once the link is up, or after ``limit_ms``."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_ms / 1000):
+                await self._came_up.wait()
+
     def beat(self):
         """Send a heartbeat at once: there is news in it."""
         self._beat_now.set()
@@ -152,6 +159,7 @@
         if self._socket is None:
             return
         self._socket = None
+        self._came_up.clear()
         self._handler.on_down(self)
 
     async def _read(self, socket):
@@ -193,6 +201,7 @@
             self.leaving = False
         self.hello = hello
         self._socket = socket
+        self._came_up.set()
         self._note_clock(hello.now_ms)
         self._handler.on_up(self)
 
