Bound the links between entries, and open all links in one place

Cause: two peers in each other data centre are 28 links at the aim; three modules opened links with the same nine lines; bases raised errors where the language has abstract methods. Ruled out: fewer than four far peers, which a cut of one data centre could cut off from the rest. Before: 36 peers at the aim (worked out).

--- a/src/waxwinghold/_agent/group.py
+++ b/src/waxwinghold/_agent/group.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from .._links import Link, LinkDownError
+from .._links import LinkDownError
 from ._maps import DeskEngine, GroupKeeper
 
 log = logbook.Logger("waxwinghold.maps")
@@ -165,11 +165,7 @@
                 self._open(row)
 
     def _open(self, row):
-        link = Link(
-            clock=self._process.clock,
-            context=self._process.context,
-            settings=self._process.settings,
-            presence=self._process.presence,
+        link = self._process.open_link(
             handler=self,
             name=row.name,
             address=row.agent_address,
--- a/src/waxwinghold/_entry/peers.py
+++ b/src/waxwinghold/_entry/peers.py
@@ -1,17 +1,15 @@
 """The other entries that this one keeps links to."""
 
+import collections
 import hashlib
 from dataclasses import dataclass
 
 import logbook
 
-from .._links import Link
 from .._messages import SheetDelta, SheetFull, SheetPull, SuspectNotice
 
 log = logbook.Logger("entry")
 
-FAR_PEERS_COUNT = 2
-
 
 @dataclass(frozen=True, kw_only=True)
 class PeerPlace:
@@ -24,7 +22,7 @@
 
 
 class Peers:
-    """Links to other entries: the own data centre's, and a few of each other.
+    """Links to other entries, half of them in other data centres.
 
     The settings name the first peers; the platform's host list brings those
     that replaced them. The number of links is bounded: within the bound,
@@ -130,14 +128,14 @@
         places = {peer.name: _place_of(peer) for peer in self._settings.peers}
         places.update(self._listed)
         places.pop(self._settings.name, None)
-        ranked = sorted(places.values(), key=self._weight, reverse=True)
+        limit_count = self._settings.peers_limit_count
         own = self._settings.data_centre
+        ranked = sorted(places.values(), key=self._weight, reverse=True)
         near = [place for place in ranked if place.data_centre == own]
-        chosen = near[: self._settings.peers_limit_count]
-        for data_centre in sorted({place.data_centre for place in ranked} - {own}):
-            far = [place for place in ranked if place.data_centre == data_centre]
-            chosen += far[:FAR_PEERS_COUNT]
-        return chosen
+        far = _in_turns([place for place in ranked if place.data_centre != own])
+        far_count = max(limit_count // 2, limit_count - len(near))
+        far = far[:far_count]
+        return near[: limit_count - len(far)] + far
 
     def _weight(self, place):
         # The same for both ends, so that each chooses the other.
@@ -145,11 +143,7 @@
         return hashlib.blake2b(text, digest_size=8).digest()
 
     def _open(self, place):
-        link = Link(
-            clock=self._process.clock,
-            context=self._process.context,
-            settings=self._settings,
-            presence=self._process.presence,
+        link = self._process.open_link(
             handler=self,
             name=place.name,
             address=place.address,
@@ -164,6 +158,17 @@
         self._tasks.pop(name).cancel()
 
 
+def _in_turns(places):
+    """Return ``places`` with one of each data centre before any second one."""
+    counts = collections.Counter()
+    numbered = []
+    for place in places:
+        numbered.append((counts[place.data_centre], place))
+        counts[place.data_centre] += 1
+    numbered.sort(key=lambda item: item[0])
+    return [place for _, place in numbered]
+
+
 def _place_of(peer):
     return PeerPlace(
         name=peer.name,
--- a/src/waxwinghold/_entry/seat.py
+++ b/src/waxwinghold/_entry/seat.py
@@ -6,7 +6,7 @@
 import logbook
 
 from .._keys import random_name
-from .._links import Link, LinkDownError
+from .._links import LinkDownError
 from .._messages import (
     Answer,
     Cancel,
@@ -48,11 +48,7 @@
             slots_count=row.slots_count,
             healthy=False,
         )
-        self.link = Link(
-            clock=process.clock,
-            context=process.context,
-            settings=process.settings,
-            presence=process.presence,
+        self.link = process.open_link(
             handler=self,
             name=row.name,
             address=row.agent_address,
--- a/src/waxwinghold/_policy/choice.py
+++ b/src/waxwinghold/_policy/choice.py
@@ -1,5 +1,6 @@
 """Choice of the target that gets an attempt: the interface and naive policies."""
 
+import abc
 import random
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -60,7 +61,7 @@
     home: str = ""
 
 
-class ChoicePolicy:
+class ChoicePolicy(abc.ABC):
     """Base of the policies: sorts out who may be chosen at all.
 
     Args:
@@ -99,8 +100,9 @@
         """Return the expected wait of a new request in the candidate's queue."""
         return candidate.report.queue_wait_ms if candidate.report else 0.0
 
+    @abc.abstractmethod
     def _choose(self, usable, *, request, now_ms):
-        raise NotImplementedError
+        """Return one of the ``usable`` candidates, of which there is one or more."""
 
 
 choice_policy = Registry(kind="choice")
--- a/src/waxwinghold/_policy/placement.py
+++ b/src/waxwinghold/_policy/placement.py
@@ -5,6 +5,7 @@
 somewhere.
 """
 
+import abc
 import heapq
 from collections.abc import Sequence
 from dataclasses import dataclass
@@ -55,9 +56,10 @@
         return max(self.shares)
 
 
-class PlacementPolicy:
+class PlacementPolicy(abc.ABC):
     """Base of the planners."""
 
+    @abc.abstractmethod
     def plan(
         self,
         *,
@@ -82,7 +84,6 @@
         Returns:
             A new plan, or ``current`` when nothing is worth its cost.
         """
-        raise NotImplementedError
 
 
 placement_policy = Registry(kind="placement")
--- a/src/waxwinghold/_process.py
+++ b/src/waxwinghold/_process.py
@@ -1,5 +1,6 @@
 """What an entry and an agent have in common: links, sheet, audit, stopping."""
 
+import abc
 import asyncio
 
 import logbook
@@ -9,7 +10,7 @@
 
 from ._audit import AuditTrail
 from ._keys import TokenMint, random_name
-from ._links import KeyRing, LinkServer, Presence, start_authenticator
+from ._links import KeyRing, Link, LinkServer, Presence, start_authenticator
 from ._messages import (
     AuditQuery,
     AuditReply,
@@ -32,7 +33,7 @@
 SPREAD_INTERVAL_MS = 250
 
 
-class Process:
+class Process(abc.ABC):
     """Base of the two roles.
 
     Args:
@@ -76,13 +77,13 @@
         """Return the load report that heartbeats carry; an entry has none."""
         return None
 
+    @abc.abstractmethod
     def unfinished_count(self):
         """Return how many requests are in flight."""
-        raise NotImplementedError
 
+    @abc.abstractmethod
     def make_handler(self):
         """Return the handler of messages that reach this process."""
-        raise NotImplementedError
 
     async def start_role(self):
         """Start what the role needs beyond the links."""
@@ -153,6 +154,19 @@
         task.add_done_callback(self._task_done)
         return task
 
+    def open_link(self, *, handler, name, address, public_key):
+        """Return a new ``Link`` of this process; its owner runs it."""
+        return Link(
+            clock=self.clock,
+            context=self.context,
+            settings=self.settings,
+            presence=self.presence,
+            handler=handler,
+            name=name,
+            address=address,
+            public_key=public_key,
+        )
+
     def drain(self, *, reason, by):
         """Take no new work, finish what is in flight, and end."""
         if self.leaving:
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -103,7 +103,7 @@
         body_limit_bytes: Largest request body.
         key_lifetime_ms: How long an issued key can be used.
         targets_limit_count: Targets that the entry keeps links to.
-        peers_limit_count: Entries of the own data centre that it keeps links to.
+        peers_limit_count: Other entries that the entry keeps links to.
         in_flight_limit_count: Callers' requests that may be open at once.
         keepalive_interval_ms: Time between comments on a quiet stream.
         drain_notice_ms: How long a stopping entry, whose health check fails
--- a/src/waxwinghold_standins/_http.py
+++ b/src/waxwinghold_standins/_http.py
@@ -1,5 +1,6 @@
 """What all stand-ins share: an HTTP server that can be silenced and crashed."""
 
+import abc
 import asyncio
 import contextlib
 import os
@@ -17,7 +18,7 @@
 CRASH_EXIT_STATUS = 70
 
 
-class HttpStandIn:
+class HttpStandIn(abc.ABC):
     """An HTTP server in front of a stand-in's state.
 
     Subclasses return their routes from ``routes`` and may extend ``start``
@@ -36,9 +37,9 @@
         self._silenced = set()
         self._runner = None
 
+    @abc.abstractmethod
     def routes(self):
         """Return the aiohttp routes of this stand-in."""
-        raise NotImplementedError
 
     async def start(self, *, host="127.0.0.1", port=0):
         """Serve on ``host`` and ``port``; 0 takes a free port."""
--- a/tests/test_entry_links.py
+++ b/tests/test_entry_links.py
@@ -6,6 +6,7 @@
 
 from waxwinghold._entry import fleet as fleet_module
 from waxwinghold._entry.fleet import Fleet
+from waxwinghold._entry.peers import Peers
 from waxwinghold._sheet.model import Sheet, Target
 
 NEAR_COUNT = 90
@@ -65,3 +66,42 @@
 
     async def test_a_target_that_no_sheet_names_is_not_reached(self):
         self.assertIsNone(await self.fleet.reach("nobody"))
+
+
+class PeersTests(unittest.TestCase):
+    def peers(self, *, data_centres, entries_count):
+        """Return the names chosen by an entry among entries of data centres."""
+        settings = types.SimpleNamespace(
+            name="entry-0-0",
+            data_centre="dc-0",
+            peers_limit_count=LIMIT_COUNT,
+            peers=[
+                types.SimpleNamespace(
+                    name=f"entry-{centre}-{number}",
+                    data_centre=f"dc-{centre}",
+                    address="tcp://127.0.0.1:7001",
+                    public_key="k" * 40,
+                )
+                for centre in range(data_centres)
+                for number in range(entries_count)
+            ],
+        )
+        process = types.SimpleNamespace(
+            settings=settings,
+            open_link=unittest.mock.Mock(),
+            spawn=unittest.mock.Mock(),
+        )
+        peers = Peers(process=process)
+        peers.start()
+        return peers.names
+
+    def test_links_to_entries_keep_within_the_limit_in_a_large_fleet(self):
+        names = self.peers(data_centres=15, entries_count=23)
+        far = {name.split("-")[1] for name in names} - {"0"}
+        self.assertEqual(len(names), LIMIT_COUNT)
+        self.assertEqual(len(far), LIMIT_COUNT // 2)
+
+    def test_a_small_fleet_is_linked_whole(self):
+        names = self.peers(data_centres=3, entries_count=3)
+        self.assertEqual(len(names), 8)
+        self.assertNotIn("entry-0-0", names)
