Serve the users' platform through a gateway role and an adapter

Cause: the product reached targets only through agents and read only its own sheet; the users' platform publishes routes, customers and workers in a store and has no room for an agent in front of plain services.

Added the gateway (routes by host and longest prefix, customers by key, places at targets, second sends against a budget, joined streams, notices between gateways) and the adapter in platform/, which decodes the platform's names.

Ruled out: the aiohttp client towards targets; it takes a reset for the end of an answer without a length and gives a late answer to the next request.

Before: nothing ran there. No tests yet.

--- /dev/null
+++ b/src/waxwinghold/_gateway/front.py
@@ -0,0 +1,226 @@
+"""The callers' side of a gateway, over HTTP."""
+
+import asyncio
+
+import logbook
+import msgspec
+from aiohttp import web
+
+from .._errors import BodyTooLargeError, RequestError
+from .attempts import FailedAnswerError
+from .errors import BodyTimeoutError, HeadersTooLargeError, SendError
+
+log = logbook.Logger("front")
+
+MS_PER_SECOND = 1000
+BODY_READ_LIMIT_MS = 10_000.0  # Several times the slowest upload within a deadline.
+SWEEP_INTERVAL_MS = 1000.0
+CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+# The parser's own bounds; the published limit is checked after it.
+PARSER_LIMIT_BYTES = 64 * 1024
+
+
+class CallerAnswer:
+    """Writes the answer to one request.
+
+    Args:
+        request: The ``aiohttp`` request.
+        closing: Whether the connection ends with this answer.
+    """
+
+    def __init__(self, *, request, closing):
+        self._request = request
+        self._closing = closing
+        self.response = None
+
+    async def start(self, *, status, headers):
+        """Begin a streamed answer."""
+        self.response = web.StreamResponse(status=status, headers=headers)
+        self.response.headers.popall("Content-Length", None)
+        await self._prepare()
+
+    async def write(self, data):
+        """Pass on a part of a streamed answer."""
+        await self.response.write(data)
+
+    async def finish(self):
+        """End a streamed answer as complete."""
+        await self.response.write_eof()
+
+    async def whole(self, *, status, headers, body):
+        """Send a whole answer."""
+        self.response = web.Response(status=status, headers=headers, body=body)
+        await self._prepare()
+        await self.response.write_eof()
+
+    def break_off(self):
+        """Reset the connection, so that the answer cannot pass for complete."""
+        transport = self._request.transport
+        if transport is not None:
+            transport.abort()
+
+    async def _prepare(self):
+        if self._closing():
+            self.response.force_close()
+        await self.response.prepare(self._request)
+
+
+class Front:
+    """Takes callers' connections.
+
+    Args:
+        gateway: The ``Gateway`` that serves requests.
+    """
+
+    def __init__(self, *, gateway):
+        self._gateway = gateway
+        self._clock = gateway.clock
+        self._opened_ms = {}
+        self._server = None
+        self._listener = None
+        self.open_count = 0
+
+    async def start(self, address):
+        """Listen at ``address``, an ``(ip, port)`` pair."""
+        self._server = web.Server(
+            self._handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=3600,  # The sweep applies the published limit.
+            max_line_size=PARSER_LIMIT_BYTES,
+            max_field_size=PARSER_LIMIT_BYTES,
+        )
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(self._server, *address, backlog=512)
+
+    async def sweep(self):
+        """Close connections that stayed idle beyond the limits, until cancelled."""
+        while True:
+            await self._clock.sleep_ms(SWEEP_INTERVAL_MS)
+            self._close_idle(self._gateway.limits)
+
+    def close_idle(self):
+        """Close every connection that has no request under way."""
+        for protocol in self._server.connections:
+            if protocol not in self._busy():
+                protocol.close()
+
+    def stop_listening(self):
+        """Take no further connections."""
+        self._listener.close()
+
+    def _busy(self):
+        return {
+            protocol
+            for protocol, since_ms in self._opened_ms.items()
+            if since_ms is None
+        }
+
+    def _close_idle(self, limits):
+        now_ms = self._clock.now_ms()
+        connections = set(self._server.connections)
+        self._opened_ms = {
+            protocol: since_ms
+            for protocol, since_ms in self._opened_ms.items()
+            if protocol in connections
+        }
+        for protocol in connections:
+            since_ms = self._opened_ms.setdefault(protocol, now_ms)
+            if since_ms is not None and now_ms - since_ms > limits.idle_timeout_ms:
+                protocol.close()
+
+    async def _handle(self, request):
+        protocol = request.protocol
+        arrived_ms = self._clock.now_ms()
+        self._opened_ms[protocol] = None
+        self.open_count += 1
+        answer = CallerAnswer(request=request, closing=self._gateway.is_stopping)
+        try:
+            await self._serve(request, answer, arrived_ms)
+        finally:
+            self.open_count -= 1
+            self._opened_ms[protocol] = self._clock.now_ms()
+        return answer.response
+
+    async def _serve(self, request, answer, arrived_ms):
+        call = None
+        try:
+            call = await self._read(request, arrived_ms)
+            await self._gateway.serve(call, answer)
+        except FailedAnswerError as error:
+            headers = self._gateway.speech.answer_headers(error.head)
+            await answer.whole(
+                status=error.head.status, headers=headers, body=error.body
+            )
+        except SendError as error:
+            self._log_end(call, error)
+            answer.break_off()
+        except RequestError as error:
+            self._log_end(call, error)
+            await self._refuse(call, answer, error)
+        except ConnectionError as error:
+            log.info("caller left", extra={"reason": repr(error)})
+
+    async def _read(self, request, arrived_ms):
+        limits = self._gateway.limits
+        headers = request.raw_headers
+        size = sum(len(name) + len(value) + 4 for name, value in headers)
+        if size > limits.header_bytes:
+            raise HeadersTooLargeError(f"headers of over {limits.header_bytes} bytes")
+        body = await self._read_body(request, limits.body_bytes)
+        return self._gateway.speech.read_request(
+            method=request.method,
+            raw_path=request.raw_path,
+            raw_headers=headers,
+            body=body,
+            arrived_ms=arrived_ms,
+        )
+
+    async def _read_body(self, request, limit_bytes):
+        if not request.body_exists:
+            return b""
+        if request.content_length is not None and request.content_length > limit_bytes:
+            raise BodyTooLargeError(limit_bytes=limit_bytes)
+        if request.headers.get("Expect", "").lower() == "100-continue":
+            request.transport.write(CONTINUE)
+        parts = []
+        size = 0
+        try:
+            async with asyncio.timeout(BODY_READ_LIMIT_MS / MS_PER_SECOND):
+                async for part in request.content.iter_any():
+                    size += len(part)
+                    if size > limit_bytes:
+                        raise BodyTooLargeError(limit_bytes=limit_bytes)
+                    parts.append(part)
+        except TimeoutError as error:
+            raise BodyTimeoutError("the body did not arrive in time") from error
+        return b"".join(parts)
+
+    async def _refuse(self, call, answer, error):
+        if answer.response is not None:
+            answer.break_off()
+            return
+        headers = self._gateway.speech.refusal_headers(
+            request_id=call.request_id if call else None,
+            retry_after_ms=error.retry_after_ms,
+        )
+        headers.append(("Content-Type", "application/json"))
+        document = {"error": {"code": error.code, "reason": str(error)}}
+        body = msgspec.json.encode(document)
+        await answer.whole(status=error.status, headers=headers, body=body)
+
+    def _log_end(self, call, error):
+        self._gateway.metrics.count("refusals", label=error.code)
+        log.info(
+            "request ended without an answer",
+            extra={
+                "request": call.request_id if call else None,
+                "code": error.code,
+                "reason": str(error),
+                "ran": error.ran.value,
+                "held_ms": (
+                    round(self._clock.now_ms() - call.arrived_ms) if call else None
+                ),
+                "retry_after_ms": getattr(error, "retry_after_ms", None),
+            },
+        )
--- /dev/null
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -0,0 +1,268 @@
+"""A gateway: serves callers from targets that it reaches directly."""
+
+import asyncio
+import signal
+
+import logbook
+from aiohttp import web
+
+from .._metrics import Metrics
+from .._policy.budget import RetryBudget
+from .._settings import split_ip_port
+from .attempts import Admitted, Attempts
+from .choice import seat_policy
+from .errors import CondemnedError, SendError, UnconfiguredError
+from .front import Front
+from .line import line_policy
+from .model import CallerLimits
+from .peers import Peers
+from .places import Places
+from .published import Published
+from .seats import Seats
+from .suspects import Suspects
+
+log = logbook.Logger("gateway")
+
+MS_PER_SECOND = 1000
+TICK_INTERVAL_MS = 50.0  # A pause of a target ends within one batch step.
+SLOW_TICKS_COUNT = 10
+FRESHNESS_MARGIN_MS = 700.0  # What is sent in time must also arrive in time.
+RETRY_SHARE = 0.7  # Of the shared budget; counts of other gateways lag.
+RETURN_ELSEWHERE_MS = 50.0  # Another gateway may be able to serve at once.
+NOTICE_MS = 2600.0  # The platform asks every second and acts on the second miss.
+STOP_MARGIN_MS = 400.0  # Between the last answer and the kill.
+
+
+class Gateway:
+    """One gateway process.
+
+    Args:
+        settings: The ``GatewaySettings``.
+        speech: The ``Speech`` of callers and targets.
+        make_source: Returns the object whose ``run`` keeps ``Published`` up to
+            date, given that ``Published``.
+    """
+
+    def __init__(self, *, clock, settings, speech, make_source):
+        self.clock = clock
+        self.settings = settings
+        self.speech = speech
+        self.metrics = Metrics(process=settings.name)
+        self.seats = Seats(clock=clock)
+        self.published = Published(
+            clock=clock, seats=self.seats, grace_ms=settings.list_grace_ms
+        )
+        self.suspects = Suspects()
+        self.peers = Peers(
+            clock=clock, settings=settings, seats=self.seats, waiting=self._waiting
+        )
+        self._source = make_source(self.published)
+        self._front = Front(gateway=self)
+        self._places = {}
+        self._budgets = {}
+        self._stopping = False
+        self._stop = asyncio.Event()
+        self._tasks = set()
+
+    @property
+    def limits(self):
+        """Return the limits on callers that are in force."""
+        table = self.published.table
+        return table.configuration.limits if table else CallerLimits()
+
+    def is_stopping(self):
+        """Return whether the process was told to stop."""
+        return self._stopping
+
+    def places(self, service):
+        """Return the ``Places`` of ``service``."""
+        places = self._places.get(service)
+        if places is None:
+            places = Places(
+                clock=self.clock,
+                service=service,
+                seats=self.seats,
+                choice=seat_policy.make(
+                    "least_held", data_centre=self.settings.data_centre
+                ),
+                line=line_policy.make("on_time_first"),
+            )
+            self._places[service] = places
+            self.seats.listeners.append(places.serve_waiting)
+        return places
+
+    def budget(self, service):
+        """Return this gateway's part of the shared budget of second sends."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            settings = self.settings
+            slack = RETRY_SHARE * settings.retry_slack_count
+            budget = RetryBudget(
+                ratio=RETRY_SHARE * settings.retry_ratio,
+                burst_count=max(1.0, slack / self.peers.gateways_count),
+                floor_per_second=0.0,
+            )
+            self._budgets[service] = budget
+        return budget
+
+    async def serve(self, call, answer):
+        """Bring ``call`` to its answer.
+
+        Raises:
+            RequestError: It is refused, or its answer is lost.
+            SendError: Its answer began and cannot be finished.
+        """
+        admitted = self._admit(call)
+        self._check_suspect(admitted)
+        started_ms = self.clock.now_ms()
+        try:
+            await Attempts(gateway=self, admitted=admitted, answer=answer).run()
+        except SendError:
+            self.metrics.count("broken", label=admitted.route.kind.value)
+            raise
+        self.suspects.note_answer(admitted)
+        self.metrics.record_ms(
+            "request",
+            self.clock.now_ms() - started_ms,
+            label=admitted.route.kind.value,
+        )
+
+    def check_sendable(self, admitted):
+        """Check again, just before a send, what may have changed while waiting.
+
+        Raises:
+            UnconfiguredError: What is known of the keys is too old.
+            UnknownKeyError: The key was taken away.
+        """
+        if not admitted.call.key or admitted.route.anonymous:
+            return
+        self._check_fresh()
+        table = self.published.table
+        table.customer(route=admitted.route, key=admitted.call.key)
+
+    async def run(self):
+        """Run until a signal says stop, and finish what is in flight."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
+        loop.add_signal_handler(signal.SIGINT, self._begin_stop)
+        loop.add_signal_handler(signal.SIGHUP, self._reload)
+        self._spawn(self._source.run())
+        self._spawn(self.peers.run())
+        self._spawn(self._tick())
+        await self._serve_readiness()
+        await self._front.start(split_ip_port(self.settings.callers_address))
+        self._spawn(self._front.sweep())
+        log.info("gateway is up", extra={"name": self.settings.name})
+        await self._stop.wait()
+        await self._finish()
+        log.info("gateway has ended", extra={"name": self.settings.name})
+
+    def _admit(self, call):
+        table = self.published.table
+        if table is None:
+            raise UnconfiguredError(
+                "no configuration is known yet", retry_after_ms=RETURN_ELSEWHERE_MS
+            )
+        path = call.path.partition("?")[0]
+        route = table.route(host=call.host, path=path)
+        if not route.anonymous and table.configuration.customers:
+            self._check_fresh()
+        customer = table.customer(route=route, key=call.key)
+        priority = route.priority
+        if customer is not None and customer.priority is not None:
+            priority = customer.priority
+        budget_ms = route.timeout_ms
+        if call.deadline_in_ms is not None:
+            budget_ms = min(budget_ms, call.deadline_in_ms)
+        return Admitted(
+            call=call,
+            route=route,
+            service=table.service(route=route, request_id=call.request_id),
+            customer_name=customer.name if customer else "",
+            priority=priority,
+            end_ms=call.arrived_ms + budget_ms,
+        )
+
+    def _check_fresh(self):
+        limit_ms = self.settings.freshness_limit_ms - FRESHNESS_MARGIN_MS
+        if self.settings.strict_keys and self.published.age_ms > limit_ms:
+            raise UnconfiguredError(
+                f"the keys known here are {self.published.age_ms:.0f} ms old",
+                retry_after_ms=RETURN_ELSEWHERE_MS,
+            )
+
+    def _check_suspect(self, admitted):
+        if self.suspects.condemned(admitted, now_ms=self.clock.now_ms()):
+            raise CondemnedError("this request ended several targets")
+
+    def _ready(self):
+        if self._stopping or self.published.table is None:
+            return False
+        if not self.settings.strict_keys:
+            return True
+        limit_ms = self.settings.freshness_limit_ms - FRESHNESS_MARGIN_MS
+        return self.published.age_ms <= limit_ms
+
+    async def _serve_readiness(self):
+        async def handle(request):
+            if request.path == "/metrics":
+                return web.Response(body=self.metrics.render())
+            return web.Response(status=200 if self._ready() else 503)
+
+        loop = asyncio.get_running_loop()
+        server = web.Server(handle, access_log=None)
+        address = split_ip_port(self.settings.readiness_address)
+        await loop.create_server(server, *address)
+        if self.settings.metrics_port:
+            await loop.create_server(server, address[0], self.settings.metrics_port)
+
+    async def _tick(self):
+        ticks = 0
+        while True:
+            await self.clock.sleep_ms(TICK_INTERVAL_MS)
+            ticks += 1
+            for places in self._places.values():
+                places.serve_waiting()
+            if ticks % SLOW_TICKS_COUNT == 0:
+                self.published.drop_missing()
+                self.seats.drop_expired_connections()
+
+    def _waiting(self):
+        return {
+            service: places.waiting_count
+            for service, places in self._places.items()
+            if places.waiting_count
+        }
+
+    def _begin_stop(self):
+        log.info("told to stop", extra={"open": self._front.open_count})
+        self._stopping = True
+        self._stop.set()
+
+    def _reload(self):
+        log.info("settings reloaded: nothing in them may change at run time")
+
+    async def _finish(self):
+        """Go on taking requests until the platform sends none, then finish them."""
+        end_ms = (
+            self.clock.now_ms()
+            + self.settings.stop_limit_s * MS_PER_SECOND
+            - STOP_MARGIN_MS
+        )
+        await self.clock.sleep_ms(NOTICE_MS)
+        self._front.stop_listening()
+        self._front.close_idle()
+        while self._front.open_count and self.clock.now_ms() < end_ms:
+            await self.clock.sleep_ms(TICK_INTERVAL_MS)
+        await self.clock.sleep_ms(TICK_INTERVAL_MS)
+
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_ended)
+
+    def _task_ended(self, task):
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            log.error("a task failed", extra={"reason": repr(task.exception())})
+            self._stop.set()
--- /dev/null
+++ b/src/waxwinghold/_gateway/peers.py
@@ -0,0 +1,188 @@
+"""What gateways tell each other: how many requests each has at each target.
+
+Notices are datagrams: each replaces the one before it, a lost one is made good
+by the next, and no connection to a peer can go silent unnoticed.
+"""
+
+import asyncio
+
+import logbook
+import msgspec
+
+log = logbook.Logger("peers")
+
+NOTICE_INTERVAL_MS = 100.0  # Several times within the length of one request.
+NOTICE_INTERVAL_PER_PEER_MS = 8.0  # Bounds the notices of a large fleet.
+QUIET_INTERVALS_COUNT = 4  # Unchanged counts are repeated this much less often.
+SILENCE_INTERVALS_COUNT = 16  # Four repetitions may be lost.
+NOTICE_LIMIT_BYTES = 60_000
+FORMAT = 1
+
+
+class Notice(msgspec.Struct, array_like=True, frozen=True):
+    """One gateway's state.
+
+    Args:
+        started_ms: Wall time of the sender's start; a later one is a restart.
+        sequence: Grows by one with each notice.
+        members: Addresses of the gateways that the sender heard lately.
+        counts: Requests in flight by target; without targets that have none.
+        waiting: Requests that wait at the sender, by service.
+    """
+
+    format: int
+    name: str
+    started_ms: int
+    sequence: int
+    members: list[str]
+    counts: dict[str, int]
+    waiting: dict[str, int]
+
+
+class Peer:
+    """Another gateway, as last heard."""
+
+    def __init__(self):
+        self.notice = None
+        self.heard_ms = 0.0
+
+
+class Peers(asyncio.DatagramProtocol):
+    """Sends this gateway's notices and takes in those of others.
+
+    Args:
+        seats: The ``Seats`` whose ``others_count`` is kept up to date.
+        waiting: Returns waiting requests by service.
+    """
+
+    def __init__(self, *, clock, settings, seats, waiting):
+        self._clock = clock
+        self._settings = settings
+        self._seats = seats
+        self._waiting = waiting
+        self._peers = {}
+        self._seeds = {seed.rpartition(":")[0] for seed in settings.seeds}
+        self._seeds.discard(settings.peers_ip)
+        self._sequence = 0
+        self._started_ms = clock.wall_ms()
+        self._transport = None
+        self._encoder = msgspec.msgpack.Encoder()
+        self._decoder = msgspec.msgpack.Decoder(Notice)
+        self._last_counts = None
+        self._quiet_rounds_count = 0
+        self.malformed_count = 0
+
+    @property
+    def gateways_count(self):
+        """Return how many gateways there are, this one included."""
+        return 1 + sum(peer.notice is not None for peer in self._peers.values())
+
+    def waiting_count(self, service):
+        """Return how many requests wait at the other gateways."""
+        return sum(
+            peer.notice.waiting.get(service, 0)
+            for peer in self._peers.values()
+            if peer.notice is not None
+        )
+
+    async def run(self):
+        """Exchange notices until cancelled."""
+        loop = asyncio.get_running_loop()
+        address = (self._settings.peers_ip, self._settings.peers_port)
+        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        while True:
+            self._forget_silent()
+            self._send_notices()
+            await self._clock.sleep_ms(self._interval_ms())
+
+    def connection_made(self, transport):
+        self._transport = transport
+
+    def error_received(self, exc):
+        log.debug("a notice came back", extra={"reason": repr(exc)})
+
+    def datagram_received(self, data, address):
+        try:
+            notice = self._decoder.decode(data)
+        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            self.malformed_count += 1
+            log.warn("malformed notice", extra={"reason": str(error)})
+            return
+        if notice.format == FORMAT:
+            self._take(address[0], notice)
+
+    def _take(self, ip, notice):
+        peer = self._peers.setdefault(ip, Peer())
+        known = peer.notice
+        if known is not None:
+            order = (known.started_ms, known.sequence)
+            if (notice.started_ms, notice.sequence) <= order:
+                return
+        peer.notice = notice
+        peer.heard_ms = self._clock.now_ms()
+        for other in notice.members:
+            if other != self._settings.peers_ip and other not in self._peers:
+                self._peers[other] = Peer()
+                self._peers[other].heard_ms = peer.heard_ms
+        if known is None or known.counts != notice.counts:
+            self._count_others()
+
+    def _interval_ms(self):
+        return max(
+            NOTICE_INTERVAL_MS, NOTICE_INTERVAL_PER_PEER_MS * self.gateways_count
+        )
+
+    def _send_notices(self):
+        counts = {
+            seat.target.name: seat.in_flight_count
+            for seat in self._seats
+            if seat.in_flight_count
+        }
+        state = (counts, self._waiting())
+        self._quiet_rounds_count += 1
+        if (
+            state == self._last_counts
+            and self._quiet_rounds_count < QUIET_INTERVALS_COUNT
+        ):
+            return
+        self._last_counts = state
+        self._quiet_rounds_count = 0
+        self._sequence += 1
+        heard = [ip for ip, peer in self._peers.items() if peer.notice is not None]
+        notice = Notice(
+            format=FORMAT,
+            name=self._settings.name,
+            started_ms=self._started_ms,
+            sequence=self._sequence,
+            members=heard,
+            counts=counts,
+            waiting=state[1],
+        )
+        data = self._encoder.encode(notice)
+        if len(data) > NOTICE_LIMIT_BYTES:
+            log.warn("notice too large", extra={"bytes": len(data)})
+            return
+        for ip in self._seeds | self._peers.keys():
+            self._transport.sendto(data, (ip, self._settings.peers_port))
+
+    def _forget_silent(self):
+        limit_ms = self._interval_ms() * SILENCE_INTERVALS_COUNT
+        now_ms = self._clock.now_ms()
+        silent = [
+            ip for ip, peer in self._peers.items() if now_ms - peer.heard_ms > limit_ms
+        ]
+        for ip in silent:
+            if self._peers.pop(ip).notice is not None:
+                log.info("gateway silent", extra={"peer": ip})
+        if silent:
+            self._count_others()
+
+    def _count_others(self):
+        totals = {}
+        for peer in self._peers.values():
+            if peer.notice is not None:
+                for name, count in peer.notice.counts.items():
+                    totals[name] = totals.get(name, 0) + count
+        for seat in self._seats:
+            seat.others_count = totals.get(seat.target.name, 0)
+        self._seats.changed()
--- /dev/null
+++ b/src/waxwinghold/_gateway/places.py
@@ -0,0 +1,131 @@
+"""Hands out places at targets: the waiting that the line's policy decides on."""
+
+import asyncio
+
+import logbook
+
+from .errors import NoRoomError, NoTargetError
+
+log = logbook.Logger("places")
+
+RETRY_TARGETS_MS = 500.0  # About the time in which a lost target is replaced.
+MS_PER_SECOND = 1000
+
+
+class Places:
+    """The places of one service's targets, seen from this gateway.
+
+    Args:
+        seats: The ``Seats`` of all services.
+        choice: Policy that chooses among seats.
+        line: Policy that decides who waits and in which order.
+    """
+
+    def __init__(self, *, clock, service, seats, choice, line):
+        self.service = service
+        self._clock = clock
+        self._seats = seats
+        self._choice = choice
+        self._line = line
+        self._waiting = []
+
+    @property
+    def waiting_count(self):
+        """Return how many requests wait."""
+        return len(self._waiting)
+
+    async def take(self, waiting, *, tried):
+        """Return a ``Seat`` with a place taken; ``give_back`` frees it.
+
+        Args:
+            waiting: What the line decides on.
+            tried: Names of targets that must not get the request.
+
+        Raises:
+            NoRoomError: It is turned away.
+            NoTargetError: No target can take it at all.
+        """
+        if not self._waiting:
+            seat = self._free_seat(tried)
+            if seat is not None:
+                return self._occupy(seat)
+        self._admit(waiting, tried)
+        future = asyncio.get_running_loop().create_future()
+        entry = (waiting, tried, future)
+        self._waiting.append(entry)
+        wait_ms = waiting.patience_until_ms - self._clock.now_ms()
+        try:
+            async with asyncio.timeout(max(0.0, wait_ms) / MS_PER_SECOND):
+                return await asyncio.shield(future)
+        except BaseException as error:
+            self._withdraw(entry)
+            if isinstance(error, TimeoutError):
+                raise self._no_room("no place came free in time") from None
+            raise
+
+    def give_back(self, seat):
+        """Free a place."""
+        seat.in_flight_count -= 1
+        self._line.rate.note(now_ms=self._clock.now_ms())
+        self._seats.changed()
+
+    def return_after_ms(self):
+        """Return when a caller that is turned away now should come back."""
+        return self._line.return_after_ms(
+            waiting_count=len(self._waiting), now_ms=self._clock.now_ms()
+        )
+
+    def serve_waiting(self):
+        """Give free places to those who wait, in the line's order."""
+        if not self._waiting:
+            return
+        now_ms = self._clock.now_ms()
+        self._waiting.sort(key=lambda one: self._line.order_key(one[0], now_ms=now_ms))
+        for entry in list(self._waiting):
+            _, tried, future = entry
+            seat = self._free_seat(tried)
+            if seat is None:
+                if not tried:
+                    return
+                continue
+            self._waiting.remove(entry)
+            if not future.done():
+                future.set_result(self._occupy(seat))
+
+    def _withdraw(self, entry):
+        """Undo what ``entry`` waited for or got at the very end."""
+        _, _, future = entry
+        if entry in self._waiting:
+            self._waiting.remove(entry)
+        elif future.done():
+            self.give_back(future.result())
+
+    def _admit(self, waiting, tried):
+        now_ms = self._clock.now_ms()
+        seats = self._seats.of_service(self.service)
+        if not any(seat.target.name not in tried for seat in seats):
+            raise NoTargetError(
+                f'service "{self.service}" has no further target',
+                retry_after_ms=RETRY_TARGETS_MS,
+            )
+        key = self._line.order_key(waiting, now_ms=now_ms)
+        ahead = sum(
+            self._line.order_key(other, now_ms=now_ms) <= key
+            for other, _, _ in self._waiting
+        )
+        if not self._line.admits(waiting, ahead_count=ahead, now_ms=now_ms):
+            raise self._no_room(f"{ahead} requests wait for a place before it")
+
+    def _no_room(self, reason):
+        return NoRoomError(reason, retry_after_ms=self.return_after_ms())
+
+    def _free_seat(self, tried):
+        return self._choice.choose(
+            self._seats.of_service(self.service),
+            tried=tried,
+            now_ms=self._clock.now_ms(),
+        )
+
+    def _occupy(self, seat):
+        seat.in_flight_count += 1
+        return seat
--- /dev/null
+++ b/src/waxwinghold/_gateway/seats.py
@@ -0,0 +1,159 @@
+"""The targets as this gateway sees them: what it sent, heard and concluded."""
+
+from dataclasses import dataclass
+
+import logbook
+
+from .model import TargetState
+from .pool import ConnectionPool
+
+log = logbook.Logger("targets")
+
+AVOID_BASE_MS = 400.0  # About the time in which a crashed process is noticed.
+AVOID_LIMIT_MS = 3000.0  # A crashed target is back after some seconds.
+FULL_AVOID_MS = 60.0  # One step of a full batch; a place may be free after it.
+FAILURE_SMOOTHING_RATIO = 0.2  # Weighs about the last five answers.
+LOAD_TRUST_MS = 400.0  # Reports lag by some hundred ms.
+
+
+@dataclass(frozen=True, kw_only=True)
+class ReportedLoad:
+    """A target's own count of its requests.
+
+    Args:
+        at_ms: When it arrived, on the gateway's clock.
+    """
+
+    running_count: int
+    waiting_count: int
+    at_ms: float
+
+
+class Seat:
+    """One target and what this gateway believes of it.
+
+    Attributes:
+        in_flight_count: Requests of this gateway that the target holds.
+        others_count: Requests that the other gateways say it holds.
+        failure_ratio: Smoothed part of the sends that the target failed.
+    """
+
+    def __init__(self, *, clock, target):
+        self.target = target
+        self.pool = ConnectionPool(clock=clock, address=target.address)
+        self.in_flight_count = 0
+        self.others_count = 0
+        self.failure_ratio = 0.0
+        self.failures_in_a_row = 0
+        self.avoid_until_ms = 0.0
+        self.load = None
+
+    @property
+    def held_count(self):
+        """Return the requests that all gateways together have at the target."""
+        return self.in_flight_count + self.others_count
+
+    def free_count(self, *, now_ms):
+        """Return the places that are believed free; negative when overfull."""
+        held = self.held_count
+        load = self.load
+        if load is not None and now_ms - load.at_ms < LOAD_TRUST_MS:
+            held = max(held, load.waiting_count and self.target.slots_count)
+        return self.target.slots_count - held
+
+    def usable(self, *, now_ms):
+        """Return whether the target may get a request now."""
+        ready = self.target.state is TargetState.READY
+        return ready and now_ms >= self.avoid_until_ms
+
+    def note_success(self):
+        """Take in that the target answered."""
+        self.failures_in_a_row = 0
+        self.avoid_until_ms = 0.0
+        self.failure_ratio *= 1 - FAILURE_SMOOTHING_RATIO
+
+    def note_failure(self, *, now_ms):
+        """Take in a failure that speaks against the target."""
+        self.failures_in_a_row += 1
+        self._smooth_failure()
+        pause_ms = AVOID_BASE_MS * 2 ** min(self.failures_in_a_row - 1, 4)
+        self.avoid(now_ms=now_ms, pause_ms=min(pause_ms, AVOID_LIMIT_MS))
+
+    def note_full(self, *, now_ms):
+        """Take in that the target rejected a request as full."""
+        self.avoid(now_ms=now_ms, pause_ms=FULL_AVOID_MS)
+
+    def note_error_answer(self):
+        """Take in an answer of the target that says that it failed."""
+        self._smooth_failure()
+
+    def avoid(self, *, now_ms, pause_ms):
+        """Send nothing to the target for ``pause_ms``."""
+        self.avoid_until_ms = max(self.avoid_until_ms, now_ms + pause_ms)
+
+    def _smooth_failure(self):
+        self.failure_ratio += FAILURE_SMOOTHING_RATIO * (1 - self.failure_ratio)
+
+
+class Seats:
+    """All targets that the platform lists, by name and by service."""
+
+    def __init__(self, *, clock):
+        self._clock = clock
+        self._seats = {}
+        self._by_service = {}
+        self.listeners = []
+
+    def __iter__(self):
+        return iter(self._seats.values())
+
+    def get(self, name):
+        """Return the seat of target ``name``, or ``None``."""
+        return self._seats.get(name)
+
+    def of_service(self, service):
+        """Return the seats of ``service``."""
+        return self._by_service.get(service, ())
+
+    def replace(self, targets):
+        """Take in the platform's whole list of targets."""
+        listed = {target.name: target for target in targets}
+        for name in self._seats.keys() - listed.keys():
+            seat = self._seats.pop(name)
+            seat.pool.close()
+            log.info("target gone", extra={"target": name})
+        for name, target in listed.items():
+            self._take(name, target)
+        by_service = {}
+        for seat in self._seats.values():
+            by_service.setdefault(seat.target.service, []).append(seat)
+        self._by_service = by_service
+        self.changed()
+
+    def changed(self):
+        """Tell the listeners that places may have come free."""
+        for listener in self.listeners:
+            listener()
+
+    def drop_expired_connections(self):
+        """Close connections that were idle for too long."""
+        for seat in self._seats.values():
+            seat.pool.drop_expired()
+
+    def _take(self, name, target):
+        seat = self._seats.get(name)
+        known = seat.target if seat else None
+        restarted = known is not None and (
+            known.address != target.address or known.born_ms != target.born_ms
+        )
+        if seat is None or restarted:
+            if seat is not None:
+                seat.pool.close()
+            self._seats[name] = Seat(clock=self._clock, target=target)
+            details = {"target": name, "service": target.service}
+            log.info("target listed", extra=details)
+            return
+        if known.state is not target.state:
+            details = {"target": name, "state": target.state.value}
+            log.info("target changed state", extra=details)
+        seat.target = target
--- a/src/waxwinghold/_metrics.py
+++ b/src/waxwinghold/_metrics.py
@@ -2,10 +2,7 @@
 
 from collections import defaultdict
 
-from aiohttp import web
 from hdrh.histogram import HdrHistogram
-from prometheus_client import CollectorRegistry, generate_latest
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 
 US_PER_MS = 1000
 LOWEST_US = 1
@@ -27,8 +24,6 @@
         self._counts = defaultdict(int)
         self._histograms = {}
         self._gauges = {}
-        self._registry = CollectorRegistry()
-        self._registry.register(self)
 
     def count(self, name, *, label=""):
         """Count one event of ``name``, apart for each ``label``."""
@@ -63,10 +58,17 @@
 
     def render(self):
         """Return all series as text."""
-        return generate_latest(self._registry)
+        # A process whose metrics nobody reads does not pay for the library.
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry()
+        registry.register(self)
+        return generate_latest(registry)
 
     def collect(self):
         """Yield the metric families; called by the registry."""
+        from prometheus_client.core import GaugeMetricFamily
+
         for name in sorted({name for name, _ in self._counts}):
             yield self._counter_family(name)
         for name in sorted({name for name, _ in self._histograms}):
@@ -79,6 +81,8 @@
             yield family
 
     def _counter_family(self, name):
+        from prometheus_client.core import CounterMetricFamily
+
         family = CounterMetricFamily(
             f"waxwinghold_{name}", f"Events: {name}.", labels=["process", "label"]
         )
@@ -88,6 +92,8 @@
         return family
 
     def _quantile_family(self, name):
+        from prometheus_client.core import GaugeMetricFamily
+
         family = GaugeMetricFamily(
             f"waxwinghold_{name}_ms",
             f"Percentiles of {name} in milliseconds since the start.",
@@ -104,6 +110,7 @@
 
 def add_metrics_route(app, metrics):
     """Serve ``metrics`` at ``/metrics`` of ``app``."""
+    from aiohttp import web
 
     async def serve(request):
         return web.Response(
--- /dev/null
+++ b/src/waxwinghold/platform/__main__.py
@@ -0,0 +1,68 @@
+"""Starts a process on the users' platform: ``python3 -m waxwinghold.platform ROLE``."""
+
+import asyncio
+import os
+import sys
+import time
+
+from .._clock import Clock
+from .._errors import WaxwingError
+from .._logs import log_handler
+from .._settings import load_settings, split_ip_port
+
+SETTINGS_VARIABLE = "WAXWINGHOLD_NODE_FILE"
+
+
+def boot_clock():
+    """Return a clock that goes on while the machine is suspended."""
+    return Clock(read_ns=lambda: time.clock_gettime_ns(time.CLOCK_BOOTTIME))
+
+
+def run_gateway(path):
+    """Run the role that serves callers."""
+    from .._gateway.gateway import Gateway
+    from .._gateway.settings import GatewaySettings
+    from .speech import PlatformSpeech
+    from .store import StoreWatcher
+
+    settings = load_settings(path, GatewaySettings)
+    clock = boot_clock()
+
+    def make_source(published):
+        return StoreWatcher(
+            clock=clock,
+            published=published,
+            address=split_ip_port(settings.store_address),
+        )
+
+    async def main():
+        await Gateway(
+            clock=clock,
+            settings=settings,
+            speech=PlatformSpeech(),
+            make_source=make_source,
+        ).run()
+
+    with log_handler(settings.log_level, process=settings.name).applicationbound():
+        asyncio.run(main())
+
+
+ROLES = {"gateway": run_gateway}
+
+
+def main():
+    """Run the role that the first argument names."""
+    role = sys.argv[1] if len(sys.argv) > 1 else ""
+    if role not in ROLES:
+        known = ", ".join(ROLES)
+        print(f'role "{role}" does not exist; known: {known}', file=sys.stderr)
+        sys.exit(2)
+    try:
+        ROLES[role](os.environ[SETTINGS_VARIABLE])
+    except WaxwingError as error:
+        print(f"waxwinghold: {error}", file=sys.stderr)
+        sys.exit(error.exit_status)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/src/waxwinghold/platform/speech.py
@@ -0,0 +1,133 @@
+"""Headers of callers' requests and of workers' answers on the users' platform."""
+
+import logbook
+
+from .._errors import BadRequestError
+from .._gateway.speech import HOP_HEADERS, AnswerNotes, CallerRequest, Speech
+
+log = logbook.Logger("speech")
+
+MS_PER_SECOND = 1000
+REQUEST_ID = b"attempt-id"
+DEADLINE_MS = b"deadline-ms"
+LAST_EVENT_ID = b"last-event-id"
+KEY = b"credential"
+CUSTOMER = b"tenant"
+EXPECTED_TARGET = b"expect-instance"
+NOT_EXECUTED = b"not-executed"
+CULPRIT = b"at-server"
+LOAD = b"server-load"
+MISDIRECTED = 421
+# Set by the system itself, whatever the caller sent.
+OWN_HEADERS = frozenset(
+    {KEY, CUSTOMER, EXPECTED_TARGET, DEADLINE_MS, LAST_EVENT_ID, b"content-length"}
+)
+
+
+class PlatformSpeech(Speech):
+    """Reads and writes messages with the platform's header names."""
+
+    def read_request(self, *, method, raw_path, raw_headers, body, arrived_ms):
+        values = {name.lower(): value for name, value in raw_headers}
+        dropped = HOP_HEADERS | OWN_HEADERS | _named_by_connection(values)
+        return CallerRequest(
+            request_id=_text(values.get(REQUEST_ID)),
+            method=method,
+            host=_text(values.get(b"host")).partition(":")[0],
+            path=raw_path,
+            headers=tuple(
+                (name, value)
+                for name, value in raw_headers
+                if name.lower() not in dropped
+            ),
+            body=body,
+            deadline_in_ms=_number(values, DEADLINE_MS),
+            key=_text(values.get(KEY)),
+            last_event_id=_whole_number(values, LAST_EVENT_ID),
+            arrived_ms=arrived_ms,
+        )
+
+    def request_bytes(
+        self, call, *, target_name, customer_name, deadline_in_ms, last_event_id
+    ):
+        lines = [f"{call.method} {call.path} HTTP/1.1".encode("latin-1", "replace")]
+        lines.extend(name + b": " + value for name, value in call.headers)
+        lines.append(b"Expect-Instance: " + target_name.encode())
+        lines.append(b"Deadline-Ms: %d" % max(0, int(deadline_in_ms)))
+        if customer_name:
+            lines.append(b"Tenant: " + customer_name.encode())
+        if last_event_id is not None:
+            lines.append(b"Last-Event-Id: %d" % last_event_id)
+        if call.body or call.method not in ("GET", "HEAD"):
+            lines.append(b"Content-Length: %d" % len(call.body))
+        return b"\r\n".join(lines) + b"\r\n\r\n" + call.body
+
+    def read_answer(self, head):
+        refused = head.status == MISDIRECTED or head.get(NOT_EXECUTED) is not None
+        return AnswerNotes(
+            request_id=head.get(REQUEST_ID),
+            executed=not refused,
+            load=_load(head.get(LOAD)),
+            culprit=head.get(CULPRIT) or "",
+        )
+
+    def answer_headers(self, head):
+        dropped = HOP_HEADERS | {b"content-length", LOAD}
+        return [
+            (name.decode("latin-1"), value.decode("latin-1"))
+            for name, value in head.headers
+            if name not in dropped
+        ]
+
+    def refusal_headers(self, *, request_id, retry_after_ms):
+        headers = []
+        if request_id:
+            headers.append(("Attempt-Id", request_id))
+        if retry_after_ms is not None:
+            seconds = max(0.0, retry_after_ms) / MS_PER_SECOND
+            headers.append(("Retry-After", f"{seconds:.3f}"))
+        return headers
+
+
+def _named_by_connection(values):
+    """Return the headers that the caller's own connection header names."""
+    names = values.get(b"connection", b"").split(b",")
+    return frozenset(name.strip().lower() for name in names)
+
+
+def _text(value):
+    return value.decode("latin-1").strip() if value else ""
+
+
+def _number(values, name):
+    text = _text(values.get(name))
+    if not text:
+        return None
+    try:
+        number = float(text)
+    except ValueError:
+        number = -1.0
+    if not 0 <= number < float("inf"):
+        raise BadRequestError(f'header "{name.decode()}" is "{text}", not a time')
+    return number
+
+
+def _whole_number(values, name):
+    text = _text(values.get(name))
+    if not text:
+        return None
+    if not (text.isascii() and text.isdigit()):
+        raise BadRequestError(f'header "{name.decode()}" is "{text}", not a number')
+    return int(text)
+
+
+def _load(text):
+    """Return ``(running, waiting)`` of a load header, or ``None``."""
+    if text is None:
+        return None
+    parts = text.split(",")
+    try:
+        return int(parts[0]), int(parts[1])
+    except (ValueError, IndexError):
+        log.warn("unreadable load", extra={"value": text})
+        return None
--- /dev/null
+++ b/src/waxwinghold/platform/store.py
@@ -0,0 +1,236 @@
+"""The one client for the platform's store: range pages, watch, and its troubles."""
+
+import asyncio
+import base64
+import binascii
+import random
+import urllib.parse
+
+import logbook
+import msgspec
+
+from .._errors import WaxwingError
+from .._gateway.errors import SendError
+from .._gateway.exchange import open_connection
+from .entries import read_configuration, read_target
+
+log = logbook.Logger("store")
+
+MS_PER_SECOND = 1000
+CONFIGURATION_KEY = "op/config"
+TARGETS_PREFIX = "servers/"
+OK = 200
+HISTORY_GONE = 410
+CONNECT_LIMIT_MS = 500.0  # The store answers in 4 ms; a lost packet costs more.
+ANSWER_LIMIT_MS = 1500.0  # A slow store takes some 50 times its usual 4 ms.
+WATCH_WAIT_MS = 1500.0  # Half of what keys may be old for leaves time to ask again.
+RETRY_BASE_MS = 150.0
+RETRY_LIMIT_MS = 800.0  # Recovers well within the bounds of configuration.
+
+
+class StoreError(WaxwingError):
+    """A call to the store that did not succeed.
+
+    Args:
+        status: The store's answer; ``None`` without one.
+    """
+
+    code = "store"
+
+    def __init__(self, *, status, reason):
+        super().__init__(f"the store answered {status}: {reason}")
+        self.status = status
+
+
+class _Item(msgspec.Struct, rename="kebab"):
+    key: str
+    value: str | None = None
+    revision: int = 0
+    deleted: bool = False
+
+
+class _Page(msgspec.Struct, rename="kebab"):
+    items: list[_Item]
+    at: int
+    more_pages: bool = False
+
+
+class _Events(msgspec.Struct, rename="kebab"):
+    events: list[_Item]
+    at: int
+
+
+_page_decoder = msgspec.json.Decoder(_Page)
+_events_decoder = msgspec.json.Decoder(_Events)
+
+
+class StoreClient:
+    """Calls the store, one call at a time, over one kept connection.
+
+    Args:
+        address: ``(ip, port)`` of the store.
+    """
+
+    def __init__(self, *, address):
+        self._address = address
+        self._connection = None
+
+    async def get(self, path, *, limit_ms, **query):
+        """Return the body of a successful answer.
+
+        Raises:
+            StoreError: The store refused, or gave no answer in time.
+        """
+        target = f"{path}?{urllib.parse.urlencode(query)}"
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_SECOND):
+                status, body = await self._exchange(target)
+        except (SendError, TimeoutError) as error:
+            self.close()
+            raise StoreError(status=None, reason=repr(error)) from error
+        if status != OK:
+            raise StoreError(status=status, reason=body[:100].decode("latin-1"))
+        return body
+
+    def close(self):
+        """Reset the connection, if there is one."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _exchange(self, target):
+        connection = self._connection
+        if connection is None or not connection.reusable:
+            self.close()
+            connection = await open_connection(self._address, limit_ms=CONNECT_LIMIT_MS)
+            self._connection = connection
+        host = f"{self._address[0]}:{self._address[1]}"
+        connection.send(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
+        head = await connection.head()
+        return head.status, await connection.whole_body()
+
+
+class StoreWatcher:
+    """Keeps ``Published`` up to date with the store.
+
+    Args:
+        published: Takes configurations, targets and the age of both.
+        address: ``(ip, port)`` of the store.
+        rng: Source of the jitter between tries.
+    """
+
+    def __init__(self, *, clock, published, address, rng=None):
+        self._clock = clock
+        self._published = published
+        self._client = StoreClient(address=address)
+        self._rng = rng or random.Random()
+        self._targets = {}
+        self._at = None
+        self._failures_count = 0
+
+    async def run(self):
+        """Read and watch until cancelled."""
+        while True:
+            asked_ms = self._clock.now_ms()
+            try:
+                if self._at is None:
+                    await self._read_all()
+                else:
+                    await self._watch()
+            except (StoreError, msgspec.MsgspecError) as error:
+                self._published.note_failure(error)
+                await self._pause(error)
+                continue
+            self._failures_count = 0
+            self._published.note_answer(asked_ms=asked_ms)
+
+    async def _read_all(self):
+        """Read configuration and targets from the start."""
+        config, at = await self._range(CONFIGURATION_KEY)
+        entries, _ = await self._range(TARGETS_PREFIX)
+        self._targets = {}
+        for item in entries:
+            self._take_target(item)
+        for item in config:
+            self._take_configuration(item)
+        self._published.note_answer(asked_ms=self._published.asked_ms)
+        self._published.take_targets(self._targets.values())
+        # Changes since the first page come again with the watch.
+        self._at = at
+
+    async def _range(self, prefix):
+        items, after, first_at = [], None, None
+        while True:
+            query = {"prefix": prefix}
+            if after is not None:
+                query["after"] = after
+            body = await self._client.get(
+                "/v1/kv-range", limit_ms=ANSWER_LIMIT_MS, **query
+            )
+            page = _page_decoder.decode(body)
+            items.extend(page.items)
+            first_at = page.at if first_at is None else first_at
+            if not page.more_pages or not page.items:
+                return items, first_at
+            after = page.items[-1].key
+
+    async def _watch(self):
+        wait_ms = int(WATCH_WAIT_MS)
+        query = {"prefix": "", "after": self._at, "wait-ms": wait_ms}
+        try:
+            body = await self._client.get(
+                "/v1/kv-watch", limit_ms=wait_ms + ANSWER_LIMIT_MS, **query
+            )
+        except StoreError as error:
+            if error.status == HISTORY_GONE:
+                log.info("history of the store is gone", extra={"at": self._at})
+                self._at = None
+            raise
+        found = _events_decoder.decode(body)
+        changed = False
+        for item in found.events:
+            if item.key == CONFIGURATION_KEY:
+                self._take_configuration(item)
+            elif item.key.startswith(TARGETS_PREFIX):
+                self._take_target(item)
+                changed = True
+        self._at = max(self._at, found.at)
+        if changed:
+            self._published.take_targets(self._targets.values())
+
+    def _take_configuration(self, item):
+        data = _value(item)
+        if item.key != CONFIGURATION_KEY or data is None:
+            return
+        configuration = read_configuration(data)
+        if configuration is not None:
+            self._published.take_configuration(configuration)
+
+    def _take_target(self, item):
+        name = item.key.removeprefix(TARGETS_PREFIX)
+        data = _value(item)
+        target = read_target(name, data) if data is not None else None
+        if target is None:
+            self._targets.pop(name, None)
+        else:
+            self._targets[name] = target
+
+    async def _pause(self, error):
+        if getattr(error, "status", None) == HISTORY_GONE:
+            return
+        self._failures_count += 1
+        limit_ms = min(
+            RETRY_LIMIT_MS, RETRY_BASE_MS * 2 ** min(4, self._failures_count)
+        )
+        await self._clock.sleep_ms(self._rng.uniform(RETRY_BASE_MS, limit_ms))
+
+
+def _value(item):
+    """Return the bytes of an item, or ``None`` if it is gone or unreadable."""
+    if item.deleted or item.value is None:
+        return None
+    try:
+        return base64.b64decode(item.value, validate=True)
+    except (binascii.Error, ValueError) as error:
+        log.warn("value set aside", extra={"key": item.key, "reason": str(error)})
+        return None
