Keep each group's expert map even from an agent beside every rank

The agent beside rank 0 leads: it plans from counts that each agent reads on its own machine, has all ranks prepare, holds the pass of the switch at rank 0, arms all, and lets go when all report it.

Ruled out: an elected leader; rank 0's own agent needs none and a restarted one finds all it has to finish in the reports.

--- /dev/null
+++ b/src/waxwinghold/_gateway/client.py
@@ -0,0 +1,66 @@
+"""Calls over one kept connection, one at a time."""
+
+import asyncio
+
+from .errors import SilentTargetError
+from .exchange import open_connection
+
+MS_PER_SECOND = 1000
+CONNECT_LIMIT_MS = 500.0  # A round trip takes a few ms; a lost packet costs more.
+
+
+class KeptClient:
+    """Calls one address, over one connection that is opened anew when needed.
+
+    Args:
+        address: ``(ip, port)``.
+    """
+
+    def __init__(self, *, address):
+        self._address = address
+        self._connection = None
+
+    async def call(self, method, target, *, limit_ms, body=None):
+        """Return the ``(status, body)`` of the answer.
+
+        Args:
+            target: Path and query.
+            limit_ms: Longest time that the call may take.
+            body: JSON to send, as bytes; ``None`` for no body.
+
+        Raises:
+            SendError: There was no whole answer in time.
+        """
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_SECOND):
+                return await self._exchange(method, target, body)
+        except TimeoutError as error:
+            self.close()
+            raise SilentTargetError(f"no answer within {limit_ms:.0f} ms") from error
+        except BaseException:
+            self.close()
+            raise
+
+    def close(self):
+        """Reset the connection, if there is one."""
+        if self._connection is not None:
+            self._connection.abort()
+            self._connection = None
+
+    async def _exchange(self, method, target, body):
+        connection = self._connection
+        if connection is None or not connection.reusable:
+            self.close()
+            connection = await open_connection(self._address, limit_ms=CONNECT_LIMIT_MS)
+            self._connection = connection
+        connection.send(self._request(method, target, body))
+        head = await connection.head()
+        return head.status, await connection.whole_body()
+
+    def _request(self, method, target, body):
+        lines = [f"{method} {target} HTTP/1.1"]
+        lines.append(f"Host: {self._address[0]}:{self._address[1]}")
+        if body is not None:
+            lines.append("Content-Type: application/json")
+            lines.append(f"Content-Length: {len(body)}")
+        return "\r\n".join([*lines, "", ""]).encode() + (body or b"")
--- a/src/waxwinghold/_gateway/front.py
+++ b/src/waxwinghold/_gateway/front.py
@@ -99,15 +99,14 @@
             await self._clock.sleep_ms(SWEEP_INTERVAL_MS)
             self._close_idle(self._gateway.limits)
 
-    def close_idle(self):
-        """Close every connection that has no request under way."""
+    def close_connections(self):
+        """Close idle connections now, and the others after their answer."""
+        busy = self._busy()
         for protocol in self._server.connections:
-            if protocol not in self._busy():
+            if protocol in busy:
                 protocol.close()
-
-    def stop_listening(self):
-        """Take no further connections."""
-        self._listener.close()
+            else:
+                _close_idle_connection(protocol)
 
     def _busy(self):
         return {
@@ -127,7 +126,7 @@
         for protocol in connections:
             since_ms = self._opened_ms.setdefault(protocol, now_ms)
             if since_ms is not None and now_ms - since_ms > limits.idle_timeout_ms:
-                protocol.close()
+                _close_idle_connection(protocol)
 
     async def _handle(self, request):
         protocol = request.protocol
@@ -137,6 +136,8 @@
         answer = CallerAnswer(request=request, closing=self._gateway.is_stopping)
         try:
             await self._serve(request, answer, arrived_ms)
+        except ConnectionError as error:
+            log.info("caller left", extra={"reason": repr(error)})
         finally:
             self.open_count -= 1
             self._opened_ms[protocol] = self._clock.now_ms()
@@ -158,8 +159,6 @@
         except RequestError as error:
             self._log_end(call, error)
             await self._refuse(call, answer, error)
-        except ConnectionError as error:
-            log.info("caller left", extra={"reason": repr(error)})
 
     async def _read(self, request, arrived_ms):
         limits = self._gateway.limits
@@ -224,3 +223,13 @@
                 "retry_after_ms": getattr(error, "retry_after_ms", None),
             },
         )
+
+
+def _close_idle_connection(protocol):
+    """Close a connection without a request.
+
+    ``protocol.close()`` only ends the task that waits for requests and leaves
+    the connection open, with nobody to read what the caller sends next.
+    """
+    if protocol.transport is not None:
+        protocol.transport.close()
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -11,7 +11,7 @@
 from .._settings import split_ip_port
 from .attempts import Admitted, Attempts
 from .choice import seat_policy
-from .errors import CondemnedError, SendError, UnconfiguredError
+from .errors import CondemnedError, SendError, StoppingError, UnconfiguredError
 from .front import Front
 from .line import line_policy
 from .model import CallerLimits
@@ -61,6 +61,7 @@
         self._places = {}
         self._budgets = {}
         self._stopping = False
+        self._refusing = False
         self._stop = asyncio.Event()
         self._tasks = set()
 
@@ -112,6 +113,11 @@
             RequestError: It is refused, or its answer is lost.
             SendError: Its answer began and cannot be finished.
         """
+        # Callers of a stopping gateway find another one at once.
+        if self._refusing:
+            raise StoppingError(
+                "this gateway is stopping", retry_after_ms=RETURN_ELSEWHERE_MS
+            )
         admitted = self._admit(call)
         self._check_suspect(admitted)
         started_ms = self.clock.now_ms()
@@ -250,8 +256,8 @@
             - STOP_MARGIN_MS
         )
         await self.clock.sleep_ms(NOTICE_MS)
-        self._front.stop_listening()
-        self._front.close_idle()
+        self._refusing = True
+        self._front.close_connections()
         while self._front.open_count and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(TICK_INTERVAL_MS)
         await self.clock.sleep_ms(TICK_INTERVAL_MS)
--- a/src/waxwinghold/_gateway/model.py
+++ b/src/waxwinghold/_gateway/model.py
@@ -74,12 +74,12 @@
     Args:
         connections_limit_count: Connections that one target accepts from all
             gateways together.
-        experts: Shape of its expert groups; ``None`` without such groups.
+        grouped: Whether its targets are ranks of expert groups.
     """
 
     name: str
     connections_limit_count: int
-    experts: object | None = None
+    grouped: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/src/waxwinghold/_gateway/notices.py
@@ -0,0 +1,96 @@
+"""Datagrams between the system's processes; each replaces the one before it."""
+
+import msgspec
+
+FORMAT = 2
+LIMIT_BYTES = 60_000
+
+
+class GatewayNotice(msgspec.Struct, array_like=True, frozen=True, tag="gateway"):
+    """One gateway's state, for the other gateways and for the agents.
+
+    Args:
+        format: Notices of another format are passed over.
+        started_ms: Wall time of the sender's start; a later one is a restart.
+        sequence: Grows by one with each notice.
+        members: Addresses of the gateways that the sender heard lately.
+        counts: Requests in flight by target; without targets that have none.
+        waiting: Requests that wait at the sender, by service.
+    """
+
+    format: int
+    name: str
+    started_ms: int
+    sequence: int
+    members: list[str]
+    counts: dict[str, int]
+    waiting: dict[str, int]
+
+
+class RankNotice(msgspec.Struct, array_like=True, frozen=True, tag="rank"):
+    """One rank's state, for the gateways and for the agent that leads the group.
+
+    Args:
+        address: ``IP:PORT`` of the rank.
+        started_ms: Wall time of the sending agent's start.
+        sequence: Grows by one with each notice.
+    """
+
+    format: int
+    address: str
+    started_ms: int
+    sequence: int
+    born_ms: int
+    group: str
+    epoch: int
+    rank: int
+    size: int
+    is_open: bool
+    step: int
+    map_version: int
+    prepared: int | None
+    armed: int | None
+    held: int | None
+    orders_count: int
+    running_count: int
+    waiting_count: int
+    pace: float
+
+
+class CountsNotice(msgspec.Struct, array_like=True, frozen=True, tag="counts"):
+    """How often the requests of one rank chose each expert since its start.
+
+    Args:
+        counts: By set and expert.
+        held: Experts that the rank holds, by set.
+    """
+
+    format: int
+    address: str
+    born_ms: int
+    group: str
+    epoch: int
+    rank: int
+    counts: list[list[int]]
+    map_version: int
+    held: list[list[int]]
+
+
+class OrderNotice(msgspec.Struct, array_like=True, frozen=True, tag="order"):
+    """An order that the agent which leads a group wants carried out."""
+
+    format: int
+    group: str
+    epoch: int
+    kind: str
+    orders_count: int
+    token: int
+    step: int | None
+    version: int | None
+    ranks_by_set: list[list[list[int]]] | None
+
+
+Notice = GatewayNotice | RankNotice | CountsNotice | OrderNotice
+
+encoder = msgspec.msgpack.Encoder()
+decoder = msgspec.msgpack.Decoder(Notice)
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -9,34 +9,22 @@
 import logbook
 import msgspec
 
+from .notices import (
+    FORMAT,
+    LIMIT_BYTES,
+    GatewayNotice,
+    RankNotice,
+    decoder,
+    encoder,
+)
+
 log = logbook.Logger("peers")
 
 NOTICE_INTERVAL_MS = 100.0  # Several times within the length of one request.
 NOTICE_INTERVAL_PER_PEER_MS = 8.0  # Bounds the notices of a large fleet.
 QUIET_INTERVALS_COUNT = 4  # Unchanged counts are repeated this much less often.
 SILENCE_INTERVALS_COUNT = 16  # Four repetitions may be lost.
-NOTICE_LIMIT_BYTES = 60_000
-FORMAT = 1
-
-
-class Notice(msgspec.Struct, array_like=True, frozen=True):
-    """One gateway's state.
-
-    Args:
-        started_ms: Wall time of the sender's start; a later one is a restart.
-        sequence: Grows by one with each notice.
-        members: Addresses of the gateways that the sender heard lately.
-        counts: Requests in flight by target; without targets that have none.
-        waiting: Requests that wait at the sender, by service.
-    """
-
-    format: int
-    name: str
-    started_ms: int
-    sequence: int
-    members: list[str]
-    counts: dict[str, int]
-    waiting: dict[str, int]
+GREETING_INTERVAL_MS = 1000.0  # Agents forget a gateway after some seconds.
 
 
 class Peer:
@@ -66,8 +54,7 @@
         self._sequence = 0
         self._started_ms = clock.wall_ms()
         self._transport = None
-        self._encoder = msgspec.msgpack.Encoder()
-        self._decoder = msgspec.msgpack.Decoder(Notice)
+        self._greeted_ms = float("-inf")
         self._last_counts = None
         self._quiet_rounds_count = 0
         self.malformed_count = 0
@@ -103,13 +90,17 @@
 
     def datagram_received(self, data, address):
         try:
-            notice = self._decoder.decode(data)
+            notice = decoder.decode(data)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
             self.malformed_count += 1
             log.warn("malformed notice", extra={"reason": str(error)})
             return
-        if notice.format == FORMAT:
+        if notice.format != FORMAT:
+            return
+        if isinstance(notice, GatewayNotice):
             self._take(address[0], notice)
+        elif isinstance(notice, RankNotice):
+            self._seats.take_rank(notice)
 
     def _take(self, ip, notice):
         peer = self._peers.setdefault(ip, Peer())
@@ -149,7 +140,7 @@
         self._quiet_rounds_count = 0
         self._sequence += 1
         heard = [ip for ip, peer in self._peers.items() if peer.notice is not None]
-        notice = Notice(
+        notice = GatewayNotice(
             format=FORMAT,
             name=self._settings.name,
             started_ms=self._started_ms,
@@ -158,13 +149,26 @@
             counts=counts,
             waiting=state[1],
         )
-        data = self._encoder.encode(notice)
-        if len(data) > NOTICE_LIMIT_BYTES:
+        data = encoder.encode(notice)
+        if len(data) > LIMIT_BYTES:
             log.warn("notice too large", extra={"bytes": len(data)})
             return
-        for ip in self._seeds | self._peers.keys():
+        receivers = self._seeds | self._peers.keys()
+        now_ms = self._clock.now_ms()
+        if now_ms - self._greeted_ms >= GREETING_INTERVAL_MS:
+            self._greeted_ms = now_ms
+            receivers |= self._new_agents()
+        for ip in receivers:
             self._transport.sendto(data, (ip, self._settings.peers_port))
 
+    def _new_agents(self):
+        """Return where agents may be that do not know this gateway yet."""
+        return {
+            seat.target.address[0]
+            for seat in self._seats
+            if self._seats.has_ranks(seat.target.service)
+        }
+
     def _forget_silent(self):
         limit_ms = self._interval_ms() * SILENCE_INTERVALS_COUNT
         now_ms = self._clock.now_ms()
--- a/src/waxwinghold/_gateway/published.py
+++ b/src/waxwinghold/_gateway/published.py
@@ -58,6 +58,9 @@
             if configuration.version <= known:
                 return
         self.table = RouteTable(configuration=configuration)
+        self._seats.grouped_services = frozenset(
+            name for name, service in configuration.services.items() if service.grouped
+        )
         log.info(
             "configuration in force",
             extra={
--- a/src/waxwinghold/_gateway/seats.py
+++ b/src/waxwinghold/_gateway/seats.py
@@ -13,6 +13,7 @@
 AVOID_LIMIT_MS = 3000.0  # A crashed target is back after some seconds.
 FULL_AVOID_MS = 60.0  # One step of a full batch; a place may be free after it.
 FAILURE_SMOOTHING_RATIO = 0.2  # Weighs about the last five answers.
+RANK_TRUST_MS = 1000.0  # Several notices of a rank may be lost.
 LOAD_TRUST_MS = 400.0  # Reports lag by some hundred ms.
 
 
@@ -47,6 +48,8 @@
         self.failures_in_a_row = 0
         self.avoid_until_ms = 0.0
         self.load = None
+        self.rank = None
+        self.rank_heard_ms = 0.0
 
     @property
     def held_count(self):
@@ -64,7 +67,14 @@
     def usable(self, *, now_ms):
         """Return whether the target may get a request now."""
         ready = self.target.state is TargetState.READY
-        return ready and now_ms >= self.avoid_until_ms
+        return ready and now_ms >= self.avoid_until_ms and not self.stalled(now_ms)
+
+    def stalled(self, now_ms):
+        """Return whether the target's group is known to make no steps."""
+        rank = self.rank
+        if rank is None or now_ms - self.rank_heard_ms > RANK_TRUST_MS:
+            return False
+        return not rank.is_open
 
     def note_success(self):
         """Take in that the target answered."""
@@ -102,7 +112,9 @@
         self._clock = clock
         self._seats = {}
         self._by_service = {}
+        self._by_address = {}
         self.listeners = []
+        self.grouped_services = frozenset()
 
     def __iter__(self):
         return iter(self._seats.values())
@@ -128,8 +140,39 @@
         for seat in self._seats.values():
             by_service.setdefault(seat.target.service, []).append(seat)
         self._by_service = by_service
+        self._by_address = {
+            f"{seat.target.address[0]}:{seat.target.address[1]}": seat
+            for seat in self._seats.values()
+        }
         self.changed()
 
+    def has_ranks(self, service):
+        """Return whether targets of ``service`` are ranks of groups."""
+        return service in self.grouped_services
+
+    def take_rank(self, notice):
+        """Take in what the agent beside a target says of it."""
+        seat = self._by_address.get(notice.address)
+        if seat is None:
+            return
+        known = seat.rank
+        if known is not None:
+            order = (known.started_ms, known.sequence)
+            if (notice.started_ms, notice.sequence) <= order:
+                return
+        seat.rank = notice
+        seat.rank_heard_ms = self._clock.now_ms()
+        if known is None or known.is_open != notice.is_open:
+            log.info(
+                "group state",
+                extra={
+                    "target": seat.target.name,
+                    "group": notice.group,
+                    "open": notice.is_open,
+                },
+            )
+            self.changed()
+
     def changed(self):
         """Tell the listeners that places may have come free."""
         for listener in self.listeners:
--- /dev/null
+++ b/src/waxwinghold/_ranks/balancing.py
@@ -0,0 +1,119 @@
+"""Decides when a group's expert map is changed, and has the leader do it."""
+
+import logbook
+
+from .demand import RecentDemand
+from .leader import GroupChangedError
+from .planner import map_policy, step_length
+
+log = logbook.Logger("balancing")
+
+LOOK_INTERVAL_MS = 300.0
+CHANGE_PAUSE_MS = 800.0  # Counts of the new map must be seen before the next.
+GAIN_LIMIT_RATIO = 0.08  # A step that gets 8 % shorter pays for a change.
+
+
+class Balancing:
+    """Watches the demand of the group whose rank 0 stands beside this agent.
+
+    Attributes:
+        shape: The ``GroupShape``; ``None`` until the configuration is known.
+
+    Args:
+        view: The ``GroupView``.
+        leader: The ``Leader`` that carries changes out.
+        policy: Name of the planner.
+    """
+
+    def __init__(self, *, clock, view, leader, policy):
+        self._clock = clock
+        self._view = view
+        self._leader = leader
+        self._policy = map_policy.make(policy)
+        self._demand = RecentDemand()
+        self._held = {}
+        self._epoch = None
+        self.shape = None
+
+    def take_counts(self, notice):
+        """Take in the counts of one rank of the group."""
+        key = (notice.group, notice.epoch)
+        if key != (self._view.name, self._view.epoch):
+            return
+        if key != self._epoch:
+            self._epoch = key
+            self._demand.clear()
+            self._held = {}
+        self._demand.take(
+            rank=notice.rank,
+            born_ms=notice.born_ms,
+            counts=notice.counts,
+            now_ms=self._clock.now_ms(),
+        )
+        self._held[notice.rank] = (notice.map_version, notice.held)
+
+    async def run(self, *, is_leader):
+        """Look at the demand again and again until cancelled."""
+        while True:
+            await self._clock.sleep_ms(LOOK_INTERVAL_MS)
+            if not is_leader() or self.shape is None or not self._view.is_complete():
+                continue
+            try:
+                await self._look()
+            except GroupChangedError as error:
+                log.info("change abandoned", extra={"reason": str(error)})
+
+    async def _look(self):
+        if self._leader.is_unfinished():
+            await self._leader.finish()
+            return
+        plan = await self._plan()
+        if plan is None:
+            return
+        started_ms = self._clock.now_ms()
+        done = await self._leader.change(plan)
+        log.info(
+            "map change ended",
+            extra={"done": done, "took_ms": round(self._clock.now_ms() - started_ms)},
+        )
+        await self._clock.sleep_ms(CHANGE_PAUSE_MS)
+
+    async def _plan(self):
+        """Return a better map as experts by set and rank, or ``None``."""
+        demand = self._demand.by_set()
+        held = self._held_by_set()
+        if demand is None or held is None:
+            return None
+        plans = []
+        for set_demand, ranks in zip(demand, held):
+            plans.append(
+                self._policy.plan_set(demand=set_demand, ranks=ranks, shape=self.shape)
+            )
+            # Planning one set takes milliseconds; reports go on in between.
+            await self._clock.sleep_ms(0)
+        share = self.shape.expert_share
+        before = step_length([one.skew_before for one in plans], expert_share=share)
+        after = step_length([one.skew for one in plans], expert_share=share)
+        moves_count = sum(one.moves_count for one in plans)
+        if not moves_count or (before - after) / before < GAIN_LIMIT_RATIO:
+            return None
+        log.info(
+            "map planned",
+            extra={
+                "moves": moves_count,
+                "step_before": round(before, 3),
+                "step_after": round(after, 3),
+            },
+        )
+        return [[sorted(experts) for experts in one.ranks] for one in plans]
+
+    def _held_by_set(self):
+        """Return per set and rank the experts held; ``None`` if not yet known."""
+        versions = {version for version, _ in self._held.values()}
+        if len(self._held) != self._view.size or len(versions) != 1:
+            return None
+        notices = self._view.notices().values()
+        if versions != {one.map_version for one in notices}:
+            return None
+        ranks = [self._held[rank][1] for rank in range(self._view.size)]
+        return [list(experts) for experts in zip(*ranks)]
--- /dev/null
+++ b/src/waxwinghold/_ranks/leader.py
@@ -0,0 +1,219 @@
+"""Steps a group from one expert map to the next; one agent leads each group.
+
+The agent beside rank 0 leads, so that there is never a second leader: a
+machine runs one agent, and a restarted one finds in the ranks' reports all that
+it has to finish. A group whose rank 0 has no agent keeps its map.
+
+The change only goes forward. All ranks prepare the map; rank 0 is told to hold
+back the pass of the switch; all ranks are armed for that pass; only when all
+say that they are, the pass is let go. Orders may be carried out late or twice:
+each names the epoch of the group and the number of orders that its rank had
+accepted, so that it is void once the group was formed anew or any other order
+came between.
+"""
+
+import logbook
+
+from .model import Order, OrderKind
+
+log = logbook.Logger("leader")
+
+POLL_INTERVAL_MS = 20.0
+RESEND_INTERVAL_MS = 250.0  # Several round trips; an unanswered order is lost.
+PREPARE_LIMIT_MS = 6000.0  # Copies take about a second; orders may be lost.
+HOLD_AHEAD_COUNT = 8  # Passes until the switch; arming takes one or two.
+HELD_LIMIT_MS = 15_000.0  # Only logged: letting go early could mix maps.
+
+
+class GroupChangedError(Exception):
+    """The group was formed anew or is incomplete: nothing is left to finish."""
+
+
+class Leader:
+    """Carries out map changes.
+
+    Args:
+        group: The ``GroupView`` that knows the latest notice of each rank.
+        send: Sends an ``Order`` to the agent of a rank.
+        token: Number of this start, higher than that of any earlier one.
+    """
+
+    def __init__(self, *, clock, group, send, token):
+        self._clock = clock
+        self._group = group
+        self._send = send
+        self._token = token
+        self._version = 0
+
+    def raise_token(self):
+        """Use a higher token from now on, after a refusal of the old one."""
+        self._token += 1_000_000
+
+    def is_unfinished(self):
+        """Return whether the ranks show a change that nobody finished."""
+        notices = self._group.notices()
+        return any(
+            one.armed is not None or one.held is not None for one in notices.values()
+        )
+
+    async def change(self, ranks_by_set):
+        """Put a map into use; return whether all ranks use it.
+
+        Args:
+            ranks_by_set: Per set and rank the experts held.
+
+        Raises:
+            GroupChangedError: The group is not what it was at the start.
+        """
+        epoch = self._group.epoch
+        notices = self._require(epoch)
+        known = [self._version]
+        for one in notices.values():
+            known += [one.map_version, one.prepared or 0]
+        self._version = max(known) + 1
+        if not await self._prepare(epoch, self._version, ranks_by_set):
+            return False
+        await self._switch(epoch, self._version)
+        return True
+
+    async def finish(self):
+        """Finish a change that an earlier start of this agent began.
+
+        Raises:
+            GroupChangedError: The group is not what it was at the start.
+        """
+        epoch = self._group.epoch
+        notices = self._require(epoch)
+        versions = {one.prepared for one in notices.values() if one.armed is None}
+        versions |= {one.armed for one in notices.values() if one.armed is not None}
+        done = {one.map_version for one in notices.values()}
+        log.info("finishing a change", extra={"versions": sorted(map(str, versions))})
+        if len(versions) == 1 and None not in versions and done != versions:
+            await self._switch(epoch, versions.pop())
+            return
+        await self._disarm(epoch)
+        await self._release(epoch)
+
+    async def _prepare(self, epoch, version, ranks_by_set):
+        end_ms = self._clock.now_ms() + PREPARE_LIMIT_MS
+        await self._order_all(
+            epoch,
+            done=lambda one: one.prepared == version,
+            make=lambda one: Order(
+                kind=OrderKind.PREPARE,
+                epoch=epoch,
+                orders_count=one.orders_count,
+                token=self._token,
+                version=version,
+                ranks_by_set=ranks_by_set,
+            ),
+            end_ms=end_ms,
+            resend_ms=4 * RESEND_INTERVAL_MS,
+        )
+        notices = self._require(epoch)
+        return all(one.prepared == version for one in notices.values())
+
+    async def _switch(self, epoch, version):
+        step = await self._hold(epoch)
+        started_ms = self._clock.now_ms()
+        await self._order_all(
+            epoch,
+            done=lambda one: one.armed == version or one.map_version == version,
+            make=lambda one: Order(
+                kind=OrderKind.ARM,
+                epoch=epoch,
+                orders_count=one.orders_count,
+                token=self._token,
+                version=version,
+                step=step,
+            ),
+        )
+        armed_ms = self._clock.now_ms() - started_ms
+        await self._release(epoch)
+        log.info(
+            "map switched",
+            extra={
+                "group": self._group.name,
+                "version": version,
+                "step": step,
+                "armed_in_ms": round(armed_ms),
+            },
+        )
+
+    async def _hold(self, epoch):
+        """Hold back a pass to come at rank 0; return its number."""
+        sent_ms = float("-inf")
+        while True:
+            notices = self._require(epoch)
+            first = notices[0]
+            if first.held is not None:
+                return first.held
+            now_ms = self._clock.now_ms()
+            if now_ms - sent_ms >= RESEND_INTERVAL_MS:
+                sent_ms = now_ms
+                step = max(one.step for one in notices.values()) + HOLD_AHEAD_COUNT
+                self._send(
+                    0,
+                    Order(
+                        kind=OrderKind.HOLD,
+                        epoch=epoch,
+                        orders_count=first.orders_count,
+                        token=self._token,
+                        step=step,
+                    ),
+                )
+            await self._clock.sleep_ms(POLL_INTERVAL_MS)
+
+    async def _release(self, epoch):
+        """Let the held pass begin."""
+        await self._order_all(
+            epoch,
+            done=lambda one: one.held is None,
+            make=lambda one: Order(
+                kind=OrderKind.GO,
+                epoch=epoch,
+                orders_count=one.orders_count,
+                token=self._token,
+                step=one.held,
+            ),
+            resend_ms=RESEND_INTERVAL_MS / 2,
+        )
+
+    async def _disarm(self, epoch):
+        await self._order_all(
+            epoch,
+            done=lambda one: one.armed is None,
+            make=lambda one: Order(
+                kind=OrderKind.DISARM,
+                epoch=epoch,
+                orders_count=one.orders_count,
+                token=self._token,
+                version=one.armed,
+            ),
+        )
+
+    async def _order_all(
+        self, epoch, *, done, make, end_ms=float("inf"), resend_ms=RESEND_INTERVAL_MS
+    ):
+        """Send orders until every rank reports that it carried out its own."""
+        sent_ms = {}
+        while True:
+            notices = self._require(epoch)
+            open_ranks = [rank for rank, one in notices.items() if not done(one)]
+            now_ms = self._clock.now_ms()
+            if not open_ranks or now_ms > end_ms:
+                return
+            for rank in open_ranks:
+                if now_ms - sent_ms.get(rank, float("-inf")) >= resend_ms:
+                    sent_ms[rank] = now_ms
+                    self._send(rank, make(notices[rank]))
+            await self._clock.sleep_ms(POLL_INTERVAL_MS)
+
+    def _require(self, epoch):
+        """Return the notices of all ranks; the group must be in ``epoch``."""
+        notices = self._group.notices()
+        if self._group.epoch != epoch:
+            raise GroupChangedError("the group was formed anew")
+        if not self._group.is_complete():
+            raise GroupChangedError("a rank is silent or the group is broken")
+        return notices
--- a/src/waxwinghold/platform/__main__.py
+++ b/src/waxwinghold/platform/__main__.py
@@ -47,7 +47,31 @@
         asyncio.run(main())
 
 
-ROLES = {"gateway": run_gateway}
+def run_agent(path):
+    """Run the role beside a rank."""
+    from .._ranks.agent import RankAgent
+    from .._ranks.settings import RankSettings
+    from .directory import Directory
+    from .worker import WorkerPort
+
+    settings = load_settings(path, RankSettings)
+    port = WorkerPort(address=split_ip_port(settings.target_address))
+    directory = Directory(
+        address=split_ip_port(settings.store_address), service=settings.service
+    )
+
+    async def main():
+        agent = RankAgent(
+            clock=boot_clock(), settings=settings, port=port, directory=directory
+        )
+        port.on_low_token = agent.leader.raise_token
+        await agent.run()
+
+    with log_handler(settings.log_level, process=settings.name).applicationbound():
+        asyncio.run(main())
+
+
+ROLES = {"gateway": run_gateway, "agent": run_agent}
 
 
 def main():
--- /dev/null
+++ b/src/waxwinghold/platform/directory.py
@@ -0,0 +1,96 @@
+"""Where the ranks of a service are, and the shape of their groups, for an agent."""
+
+import base64
+import binascii
+
+import logbook
+import msgspec
+
+from .._gateway.client import KeptClient
+from .._ranks.model import GroupShape
+from .entries import read_target
+from .store import CONFIGURATION_KEY, TARGETS_PREFIX, StoreError, read_range
+
+log = logbook.Logger("directory")
+
+BITS_PER_BYTE = 8
+MS_PER_SECOND = 1000
+
+
+class _Engine(msgspec.Struct, rename="kebab"):
+    sets: int = 0
+    experts: int = 0
+    placements: int = 0
+    spare: int = 0
+    expert_mb: float = 0.0
+    expert_share: float = 0.0
+    link_mbps: float = 1.0
+
+
+class _Service(msgspec.Struct, rename="kebab"):
+    name: str
+    engine: _Engine | None = None
+
+
+class _Configuration(msgspec.Struct, rename="kebab"):
+    services: list[_Service] = []
+
+
+class Directory:
+    """Reads what an agent needs, from answers that may be seconds old.
+
+    Args:
+        address: ``(ip, port)`` of the store.
+        service: The service of the agent's rank.
+    """
+
+    def __init__(self, *, address, service):
+        self._client = KeptClient(address=address)
+        self._service = service
+        self._shape = None
+
+    async def read(self):
+        """Return the addresses of all ranks and the ``GroupShape``.
+
+        Either is ``None`` if the store did not tell it.
+        """
+        try:
+            if self._shape is None:
+                self._shape = await self._read_shape()
+            return await self._read_addresses(), self._shape
+        except (StoreError, msgspec.MsgspecError, binascii.Error) as error:
+            log.info("store not read", extra={"reason": str(error)})
+            return None, self._shape
+
+    async def _read_addresses(self):
+        items, _ = await read_range(self._client, TARGETS_PREFIX, **{"stale-ok": 1})
+        found = []
+        for item in items:
+            data = base64.b64decode(item.value or "")
+            target = read_target(item.key.removeprefix(TARGETS_PREFIX), data)
+            if target is not None and target.service == self._service:
+                found.append(target.address)
+        return found
+
+    async def _read_shape(self):
+        items, _ = await read_range(self._client, CONFIGURATION_KEY, **{"stale-ok": 1})
+        for item in items:
+            data = base64.b64decode(item.value or "")
+            for service in msgspec.json.decode(data, type=_Configuration).services:
+                if service.name == self._service:
+                    return _shape(service.engine)
+        return None
+
+
+def _shape(engine):
+    if engine is None or not engine.sets:
+        return None
+    megabits = engine.expert_mb * BITS_PER_BYTE
+    return GroupShape(
+        sets_count=engine.sets,
+        experts_count=engine.experts,
+        places_count=engine.placements,
+        spare_count=engine.spare,
+        expert_share=engine.expert_share,
+        expert_copy_ms=megabits / engine.link_mbps * MS_PER_SECOND,
+    )
--- a/src/waxwinghold/platform/entries.py
+++ b/src/waxwinghold/platform/entries.py
@@ -55,9 +55,14 @@
     split: list[_Share] = []
 
 
+class _Engine(_Entry):
+    sets: int = 0
+
+
 class _Service(_Entry):
     name: str
     max_conns: int = 0
+    engine: _Engine | None = None
 
 
 class _Limits(_Entry):
@@ -165,7 +170,11 @@
 
 
 def _service(found):
-    return Service(name=found.name, connections_limit_count=found.max_conns)
+    return Service(
+        name=found.name,
+        connections_limit_count=found.max_conns,
+        grouped=found.engine is not None and found.engine.sets > 0,
+    )
 
 
 def _limits(found):
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -1,6 +1,5 @@
 """The one client for the platform's store: range pages, watch, and its troubles."""
 
-import asyncio
 import base64
 import binascii
 import random
@@ -10,18 +9,16 @@
 import msgspec
 
 from .._errors import WaxwingError
+from .._gateway.client import KeptClient
 from .._gateway.errors import SendError
-from .._gateway.exchange import open_connection
 from .entries import read_configuration, read_target
 
 log = logbook.Logger("store")
 
-MS_PER_SECOND = 1000
 CONFIGURATION_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
 OK = 200
 HISTORY_GONE = 410
-CONNECT_LIMIT_MS = 500.0  # The store answers in 4 ms; a lost packet costs more.
 ANSWER_LIMIT_MS = 1500.0  # A slow store takes some 50 times its usual 4 ms.
 WATCH_WAIT_MS = 1500.0  # Half of what keys may be old for leaves time to ask again.
 RETRY_BASE_MS = 150.0
@@ -64,50 +61,45 @@
 _events_decoder = msgspec.json.Decoder(_Events)
 
 
-class StoreClient:
-    """Calls the store, one call at a time, over one kept connection.
+async def read_store(client, path, *, limit_ms, **query):
+    """Return the body of a successful reading call.
 
     Args:
-        address: ``(ip, port)`` of the store.
+        client: The ``KeptClient`` of the store.
+
+    Raises:
+        StoreError: The store refused, or gave no answer in time.
     """
+    target = f"{path}?{urllib.parse.urlencode(query)}"
+    try:
+        status, body = await client.call("GET", target, limit_ms=limit_ms)
+    except SendError as error:
+        raise StoreError(status=None, reason=repr(error)) from error
+    if status != OK:
+        raise StoreError(status=status, reason=body[:100].decode("latin-1"))
+    return body
 
-    def __init__(self, *, address):
-        self._address = address
-        self._connection = None
 
-    async def get(self, path, *, limit_ms, **query):
-        """Return the body of a successful answer.
+async def read_range(client, prefix, **query):
+    """Return all items below ``prefix`` and the revision of the first page.
 
-        Raises:
-            StoreError: The store refused, or gave no answer in time.
-        """
-        target = f"{path}?{urllib.parse.urlencode(query)}"
-        try:
-            async with asyncio.timeout(limit_ms / MS_PER_SECOND):
-                status, body = await self._exchange(target)
-        except (SendError, TimeoutError) as error:
-            self.close()
-            raise StoreError(status=None, reason=repr(error)) from error
-        if status != OK:
-            raise StoreError(status=status, reason=body[:100].decode("latin-1"))
-        return body
-
-    def close(self):
-        """Reset the connection, if there is one."""
-        if self._connection is not None:
-            self._connection.abort()
-            self._connection = None
-
-    async def _exchange(self, target):
-        connection = self._connection
-        if connection is None or not connection.reusable:
-            self.close()
-            connection = await open_connection(self._address, limit_ms=CONNECT_LIMIT_MS)
-            self._connection = connection
-        host = f"{self._address[0]}:{self._address[1]}"
-        connection.send(f"GET {target} HTTP/1.1\r\nHost: {host}\r\n\r\n".encode())
-        head = await connection.head()
-        return head.status, await connection.whole_body()
+    Raises:
+        StoreError: A page could not be read.
+    """
+    items, after, first_at = [], None, None
+    while True:
+        page_query = {"prefix": prefix, **query}
+        if after is not None:
+            page_query["after"] = after
+        body = await read_store(
+            client, "/v1/kv-range", limit_ms=ANSWER_LIMIT_MS, **page_query
+        )
+        page = _page_decoder.decode(body)
+        items.extend(page.items)
+        first_at = page.at if first_at is None else first_at
+        if not page.more_pages or not page.items:
+            return items, first_at
+        after = page.items[-1].key
 
 
 class StoreWatcher:
@@ -122,7 +114,7 @@
     def __init__(self, *, clock, published, address, rng=None):
         self._clock = clock
         self._published = published
-        self._client = StoreClient(address=address)
+        self._client = KeptClient(address=address)
         self._rng = rng or random.Random()
         self._targets = {}
         self._at = None
@@ -146,8 +138,8 @@
 
     async def _read_all(self):
         """Read configuration and targets from the start."""
-        config, at = await self._range(CONFIGURATION_KEY)
-        entries, _ = await self._range(TARGETS_PREFIX)
+        config, at = await read_range(self._client, CONFIGURATION_KEY)
+        entries, _ = await read_range(self._client, TARGETS_PREFIX)
         self._targets = {}
         for item in entries:
             self._take_target(item)
@@ -158,28 +150,13 @@
         # Changes since the first page come again with the watch.
         self._at = at
 
-    async def _range(self, prefix):
-        items, after, first_at = [], None, None
-        while True:
-            query = {"prefix": prefix}
-            if after is not None:
-                query["after"] = after
-            body = await self._client.get(
-                "/v1/kv-range", limit_ms=ANSWER_LIMIT_MS, **query
-            )
-            page = _page_decoder.decode(body)
-            items.extend(page.items)
-            first_at = page.at if first_at is None else first_at
-            if not page.more_pages or not page.items:
-                return items, first_at
-            after = page.items[-1].key
-
     async def _watch(self):
         wait_ms = int(WATCH_WAIT_MS)
         query = {"prefix": "", "after": self._at, "wait-ms": wait_ms}
         try:
-            body = await self._client.get(
-                "/v1/kv-watch", limit_ms=wait_ms + ANSWER_LIMIT_MS, **query
+            limit_ms = wait_ms + ANSWER_LIMIT_MS
+            body = await read_store(
+                self._client, "/v1/kv-watch", limit_ms=limit_ms, **query
             )
         except StoreError as error:
             if error.status == HISTORY_GONE:
--- /dev/null
+++ b/src/waxwinghold/platform/worker.py
@@ -0,0 +1,159 @@
+"""Reports, counts and orders of the worker on the same machine."""
+
+import logbook
+import msgspec
+
+from .._gateway.client import KeptClient
+from .._gateway.errors import MalformedAnswerError
+from .._ranks.model import OrderKind, RankReport
+from .._ranks.port import RankPort
+
+log = logbook.Logger("worker")
+
+CALL_LIMIT_MS = 400.0  # On the same machine an answer takes about a millisecond.
+ACCEPTED_STATUSES = (200, 202)
+MISDIRECTED = 421
+TOKEN_TOO_LOW = 412
+
+
+class _Group(msgspec.Struct, rename="kebab"):
+    name: str
+    epoch: int
+    rank: int
+    state: str
+
+
+class _Report(msgspec.Struct, rename="kebab"):
+    """``seq`` counts accepted orders; ``active`` and ``queued`` are requests."""
+
+    born: int = 0
+    seq: int = 0
+    active: int = 0
+    queued: int = 0
+    group: _Group | None = None
+    size: int = 0
+    pace: float = 1.0
+    step: int = 0
+    map: int = 0
+    prepared: object = None
+    armed: object = None
+    held: object = None
+
+
+class _Map(msgspec.Struct, rename="kebab"):
+    version: int
+    experts: list[list[int]]
+
+
+class _Lists(msgspec.Struct, rename="kebab"):
+    map: _Map
+
+
+class _Picked(msgspec.Struct, rename="kebab"):
+    counts: list[int]
+
+
+_report_decoder = msgspec.json.Decoder(_Report)
+_lists_decoder = msgspec.json.Decoder(_Lists)
+_picked_decoder = msgspec.json.Decoder(_Picked)
+
+
+class WorkerPort(RankPort):
+    """Calls the worker at ``address``.
+
+    Args:
+        on_low_token: Called when an order's fencing token was too low.
+    """
+
+    def __init__(self, *, address, on_low_token=lambda: None):
+        self._client = KeptClient(address=address)
+        self._orders_client = KeptClient(address=address)
+        self.on_low_token = on_low_token
+        self._sets_count = 0
+
+    async def report(self):
+        found = await self._read("/v1/report", _report_decoder)
+        group = found.group
+        if group is None:
+            return None
+        return RankReport(
+            born_ms=found.born,
+            group=group.name,
+            epoch=group.epoch,
+            rank=group.rank,
+            size=found.size,
+            is_open=group.state == "open",
+            step=found.step,
+            map_version=found.map,
+            prepared=_version(found.prepared),
+            armed=_version(found.armed),
+            held=_step(found.held),
+            orders_count=found.seq,
+            running_count=found.active,
+            waiting_count=found.queued,
+            pace=found.pace,
+        )
+
+    async def counts(self):
+        found = await self._read("/v1/picked", _picked_decoder)
+        sets = self._sets_count or 1
+        size = len(found.counts) // sets
+        return [found.counts[one * size : (one + 1) * size] for one in range(sets)]
+
+    async def held_experts(self):
+        found = await self._read("/v1/picked?lists=1", _lists_decoder)
+        self._sets_count = len(found.map.experts)
+        return found.map.version, found.map.experts
+
+    async def give(self, order):
+        body = {
+            "operation": order.kind.value,
+            "epoch": order.epoch,
+            "expected-rev": order.orders_count,
+            "fencing-token": order.token,
+        }
+        if order.step is not None:
+            body["step"] = order.step
+        if order.version is not None:
+            body["version"] = order.version
+        if order.kind is OrderKind.PREPARE:
+            body["map"] = order.ranks_by_set
+        status, answer = await self._orders_client.call(
+            "POST", "/v1/order", limit_ms=CALL_LIMIT_MS, body=msgspec.json.encode(body)
+        )
+        if status == TOKEN_TOO_LOW:
+            self.on_low_token()
+        if status not in ACCEPTED_STATUSES:
+            log.info(
+                "order refused",
+                extra={
+                    "kind": order.kind.value,
+                    "status": status,
+                    "reason": answer[:200].decode("latin-1"),
+                },
+            )
+        return status in ACCEPTED_STATUSES
+
+    async def _read(self, target, decoder):
+        status, body = await self._client.call("GET", target, limit_ms=CALL_LIMIT_MS)
+        if status != 200:
+            raise MalformedAnswerError(f'"{target}" was answered {status}')
+        try:
+            return decoder.decode(body)
+        except msgspec.MsgspecError as error:
+            raise MalformedAnswerError(f'"{target}": {error}') from error
+
+
+def _version(value):
+    """Return the version that a report names, however it names it."""
+    if isinstance(value, dict):
+        value = value.get("version")
+    if isinstance(value, list):
+        value = value[0] if value else None
+    return value
+
+
+def _step(value):
+    if isinstance(value, dict):
+        value = value.get("step")
+    return value
