--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -72,6 +72,7 @@
         self._ran = Ran.NOT_RUN
         self._ran_count = 0
         self._sends_count = 0
+        self._arrived = False
         self._last_event_id = admitted.call.last_event_id
         self._started = False
 
@@ -82,7 +83,10 @@
             RequestError: It gets no answer of a target.
             SendError: The answer had begun and cannot be finished.
         """
-        self._budget.record_first(now_ms=self._clock.now_ms())
+        self._budget.record_first(
+            now_ms=self._clock.now_ms(),
+            gateways_count=self._gateway.peers.gateways_count,
+        )
         while True:
             try:
                 seat = await self._take_place()
@@ -133,6 +137,7 @@
         try:
             # A process that was frozen wakes here: what it believes has aged.
             self._gateway.check_sendable(self._admitted)
+            self._arrived = True
             connection.send(self._request_bytes(seat))
             head, notes = await self._head(connection)
             self._note_load(seat, notes)
@@ -286,8 +291,8 @@
             return False
         if self._left_ms() <= SHORTEST_SEND_MS:
             return False
-        if failure.code == "connect_failed":
-            return True  # Nothing arrived anywhere, so it is free.
+        if not self._arrived:
+            return True  # Only arrivals at targets draw on the budget.
         if self._ran is not Ran.NOT_RUN:
             if not self._route.repeatable:
                 return False
@@ -297,7 +302,10 @@
             self._admitted, now_ms=self._clock.now_ms()
         ):
             return False
-        return self._budget.take_retry(now_ms=self._clock.now_ms())
+        return self._budget.take(
+            now_ms=self._clock.now_ms(),
+            gateways_count=self._gateway.peers.gateways_count,
+        )
 
     def _final(self, failure):
         """Return the error that ends the request after ``failure``."""
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -7,9 +7,9 @@
 from aiohttp import web
 
 from .._metrics import Metrics
-from .._policy.budget import RetryBudget
 from .._settings import split_ip_port
 from .attempts import Admitted, Attempts
+from .budget import budget_policy
 from .choice import seat_policy
 from .errors import CondemnedError, SendError, StoppingError, UnconfiguredError
 from .front import Front
@@ -27,7 +27,6 @@
 TICK_INTERVAL_MS = 50.0  # A pause of a target ends within one batch step.
 SLOW_TICKS_COUNT = 10
 FRESHNESS_MARGIN_MS = 700.0  # What is sent in time must also arrive in time.
-RETRY_SHARE = 0.7  # Of the shared budget; counts of other gateways lag.
 RETURN_ELSEWHERE_MS = 50.0  # Another gateway may be able to serve at once.
 NOTICE_MS = 2600.0  # The platform asks every second and acts on the second miss.
 STOP_MARGIN_MS = 400.0  # Between the last answer and the kill.
@@ -97,11 +96,11 @@
         budget = self._budgets.get(service)
         if budget is None:
             settings = self.settings
-            slack = RETRY_SHARE * settings.retry_slack_count
-            budget = RetryBudget(
-                ratio=RETRY_SHARE * settings.retry_ratio,
-                burst_count=max(1.0, slack / self.peers.gateways_count),
-                floor_per_second=0.0,
+            budget = budget_policy.make(
+                "shared",
+                ratio=settings.retry_ratio,
+                slack_count=settings.retry_slack_count,
+                window_ms=settings.retry_window_s * MS_PER_SECOND,
             )
             self._budgets[service] = budget
         return budget
