--- a/src/waxwinghold/_gateway/budget.py
+++ b/src/waxwinghold/_gateway/budget.py
@@ -1,6 +1,6 @@
 """The budget of second sends that all gateways share."""
 
-from .._policy.registry import Registry
+from .._registry import Registry
 
 budget_policy = Registry(kind="budget")
 
--- a/src/waxwinghold/_gateway/choice.py
+++ b/src/waxwinghold/_gateway/choice.py
@@ -2,7 +2,7 @@
 
 import random
 
-from .._policy.registry import Registry
+from .._registry import Registry
 
 FAILURE_WEIGHT = 4.0  # A target that fails all requests counts as four loads.
 AWAY_WEIGHT = 0.02  # Decides between equals only: a far data centre costs 1 ms.
--- a/src/waxwinghold/_gateway/line.py
+++ b/src/waxwinghold/_gateway/line.py
@@ -6,7 +6,7 @@
 from collections import deque
 from dataclasses import dataclass
 
-from .._policy.registry import Registry
+from .._registry import Registry
 
 RATE_WINDOW_MS = 2000.0  # Long enough for a handful of departures of one gateway.
 RETURN_BASE_MS = 150.0  # A refused caller returns when some places have come free.
--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -214,8 +214,8 @@
                 self._transport.sendto(data, (ip, self._settings.peers_port))
 
     async def _counts_notice(self, report):
-        counts = await self._port.counts()
         version, held = await self._port.held_experts()
+        counts = await self._port.counts(sets_count=len(held))
         return CountsNotice(
             format=FORMAT,
             address=self._settings.target_address,
--- a/src/waxwinghold/_ranks/balancing.py
+++ b/src/waxwinghold/_ranks/balancing.py
@@ -10,7 +10,12 @@
 
 LOOK_INTERVAL_MS = 300.0
 CHANGE_PAUSE_MS = 800.0  # Counts of the new map must be seen before the next.
-GAIN_LIMIT_RATIO = 0.08  # A step that gets 8 % shorter pays for a change.
+# Copying one expert lengthens steps by 15 % for about 50 ms, and costs the
+# memory links; it must shorten all steps until demand shifts, some 3 s, by this.
+MOVE_PRICE_RATIO = 0.0023
+CHANGE_PRICE_RATIO = 0.03  # Orders, reports and the risk of a held pass.
+IDLE_USE_RATIO = 0.25  # Below it shorter steps serve nobody sooner.
+FULL_USE_RATIO = 0.75  # Above it every shorter step serves somebody more.
 
 
 class Balancing:
@@ -84,29 +89,52 @@
         held = self._held_by_set()
         if demand is None or held is None:
             return None
+        worth = self._worth_of_speed()
+        if not worth:
+            return None
+        share = self.shape.expert_share
+        move_price = MOVE_PRICE_RATIO / worth * len(demand) / share
         plans = []
         for set_demand, ranks in zip(demand, held):
             plans.append(
-                self._policy.plan_set(demand=set_demand, ranks=ranks, shape=self.shape)
+                self._policy.plan_set(
+                    demand=set_demand,
+                    ranks=ranks,
+                    shape=self.shape,
+                    move_price=move_price,
+                )
             )
             # Planning one set takes milliseconds; reports go on in between.
             await self._clock.sleep_ms(0)
-        share = self.shape.expert_share
         before = step_length([one.skew_before for one in plans], expert_share=share)
         after = step_length([one.skew for one in plans], expert_share=share)
         moves_count = sum(one.moves_count for one in plans)
-        if not moves_count or (before - after) / before < GAIN_LIMIT_RATIO:
+        gain = worth * (before - after) / before
+        if (
+            not moves_count
+            or gain < CHANGE_PRICE_RATIO + MOVE_PRICE_RATIO * moves_count
+        ):
             return None
         log.info(
             "map planned",
             extra={
                 "moves": moves_count,
+                "worth": round(worth, 2),
                 "step_before": round(before, 3),
                 "step_after": round(after, 3),
             },
         )
         return [[sorted(experts) for experts in one.ranks] for one in plans]
 
+    def _worth_of_speed(self):
+        """Return what shorter steps are worth now, from 0 (idle) to 1 (full)."""
+        notices = self._view.notices().values()
+        held_count = sum(one.running_count + one.waiting_count for one in notices)
+        use = held_count / (len(notices) * self.shape.slots_count)
+        return min(
+            1.0, max(0.0, use - IDLE_USE_RATIO) / (FULL_USE_RATIO - IDLE_USE_RATIO)
+        )
+
     def _held_by_set(self):
         """Return per set and rank the experts held; ``None`` if not yet known."""
         versions = {version for version, _ in self._held.values()}
--- a/src/waxwinghold/_ranks/model.py
+++ b/src/waxwinghold/_ranks/model.py
@@ -60,6 +60,7 @@
         experts_count: Experts of a set.
         places_count: Experts of a set that one rank can hold.
         spare_count: Experts of a set that one change may bring to a rank.
+        slots_count: Requests that one rank runs at once.
         expert_share: Part of a step's work that the experts do, 0 to 1.
         expert_copy_ms: Time that copying one expert to a rank takes.
     """
@@ -68,6 +69,7 @@
     experts_count: int
     places_count: int
     spare_count: int
+    slots_count: int
     expert_share: float
     expert_copy_ms: float
 
--- a/src/waxwinghold/_ranks/planner.py
+++ b/src/waxwinghold/_ranks/planner.py
@@ -5,7 +5,7 @@
 
 from dataclasses import dataclass
 
-from .._policy.registry import Registry
+from .._registry import Registry
 
 map_policy = Registry(kind="map")
 
@@ -33,7 +33,7 @@
 class StaticMap:
     """Never changes a map; the naive policy."""
 
-    def plan_set(self, *, demand, ranks, shape):
+    def plan_set(self, *, demand, ranks, shape, move_price):
         """Return the map in use as a ``SetPlan``."""
         skew = max(_loads(ranks, demand))
         return SetPlan(
@@ -52,21 +52,20 @@
     take their place every few seconds, and copies that cost time.
 
     Args:
-        gain_limit: Smallest drop of the skew that justifies one move.
         skew_goal: Skew below which a set is left alone.
     """
 
-    def __init__(self, *, gain_limit=0.01, skew_goal=1.1):
-        self._gain_limit = gain_limit
+    def __init__(self, *, skew_goal=1.1):
         self._skew_goal = skew_goal
 
-    def plan_set(self, *, demand, ranks, shape):
+    def plan_set(self, *, demand, ranks, shape, move_price):
         """Return a ``SetPlan`` for one set of experts.
 
         Args:
             demand: How often each expert was chosen lately.
             ranks: Experts that each rank holds now.
             shape: The ``GroupShape``.
+            move_price: Smallest drop of the skew that justifies one move.
         """
         state = _State(demand=demand, ranks=ranks, shape=shape)
         skew_before = max(state.loads)
@@ -76,7 +75,7 @@
                 break
             skew = max(state.loads)
             gain = best_skew - skew
-            if gain >= self._gain_limit * (state.moves_count - best_moves):
+            if gain >= move_price * (state.moves_count - best_moves):
                 best, best_skew = state.snapshot(), skew
                 best_moves = state.moves_count
         return SetPlan(
--- a/src/waxwinghold/_ranks/port.py
+++ b/src/waxwinghold/_ranks/port.py
@@ -14,7 +14,7 @@
         """Return a ``RankReport``, or ``None`` from a target without a group."""
 
     @abc.abstractmethod
-    async def counts(self):
+    async def counts(self, *, sets_count):
         """Return, by set, how often each expert was chosen since the start."""
 
     @abc.abstractmethod
--- /dev/null
+++ b/src/waxwinghold/_registry.py
@@ -0,0 +1,51 @@
+"""A registry of interchangeable policies, filled by a decorator."""
+
+from ._errors import WaxwingError
+
+
+class UnknownPolicyError(WaxwingError):
+    """A policy name that no class is registered under."""
+
+    code = "unknown_policy"
+
+    def __init__(self, *, kind, name, known):
+        names = ", ".join(known)
+        super().__init__(f'{kind} policy "{name}" does not exist; known: {names}')
+
+
+class Registry:
+    """Maps names to policy classes; an instance is the decorator.
+
+    Args:
+        kind: What the policies decide; named in errors.
+    """
+
+    def __init__(self, *, kind):
+        self._kind = kind
+        self._classes = {}
+
+    def __call__(self, name):
+        """Register the decorated class under ``name``."""
+
+        def register(policy_class):
+            self._classes[name] = policy_class
+            return policy_class
+
+        return register
+
+    def names(self):
+        """Return the registered names, sorted."""
+        return sorted(self._classes)
+
+    def make(self, name, **arguments):
+        """Return a new policy of the registered ``name``.
+
+        Args:
+            arguments: Keyword arguments of the policy's constructor.
+
+        Raises:
+            UnknownPolicyError: No policy has that name.
+        """
+        if name not in self._classes:
+            raise UnknownPolicyError(kind=self._kind, name=name, known=self.names())
+        return self._classes[name](**arguments)
--- a/src/waxwinghold/platform/directory.py
+++ b/src/waxwinghold/platform/directory.py
@@ -22,6 +22,7 @@
     experts: int = 0
     placements: int = 0
     spare: int = 0
+    slots: int = 1
     expert_mb: float = 0.0
     expert_share: float = 0.0
     link_mbps: float = 1.0
@@ -91,6 +92,7 @@
         experts_count=engine.experts,
         places_count=engine.placements,
         spare_count=engine.spare,
+        slots_count=engine.slots,
         expert_share=engine.expert_share,
         expert_copy_ms=megabits / engine.link_mbps * MS_PER_SECOND,
     )
--- a/src/waxwinghold/platform/worker.py
+++ b/src/waxwinghold/platform/worker.py
@@ -69,7 +69,6 @@
         self._client = KeptClient(address=address)
         self._orders_client = KeptClient(address=address)
         self.on_low_token = on_low_token
-        self._sets_count = 0
 
     async def report(self):
         found = await self._read("/v1/report", _report_decoder)
@@ -94,15 +93,15 @@
             pace=found.pace,
         )
 
-    async def counts(self):
+    async def counts(self, *, sets_count):
         found = await self._read("/v1/picked", _picked_decoder)
-        sets = self._sets_count or 1
-        size = len(found.counts) // sets
-        return [found.counts[one * size : (one + 1) * size] for one in range(sets)]
+        size = len(found.counts) // sets_count
+        return [
+            found.counts[one * size : (one + 1) * size] for one in range(sets_count)
+        ]
 
     async def held_experts(self):
         found = await self._read("/v1/picked?lists=1", _lists_decoder)
-        self._sets_count = len(found.map.experts)
         return found.map.version, found.map.experts
 
     async def give(self, order):
