Know a stalled group from its steps; tell refused callers when it may be back

Cause: while a lost rank keeps a group from stepping, every request that is sent there is rejected after a while and its caller, told to return within 150 ms, comes back in vain. Ruled out: nothing yet on the remaining rejections.

--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -29,7 +29,11 @@
 FIRST_EVENT_LIMIT_MS = 2500.0  # Longer than a target's own stall of 1.5 s.
 SHARE_OF_TIME_FOR_FIRST = 0.45  # Leaves a second target as much time as the first.
 SHORTEST_SEND_MS = 30.0  # A send with less time left cannot be answered.
-PATIENCE_SHARE = 0.25  # Of the time left; more would not leave time to be served.
+PATIENCE_SHARE = 0.25  # Of the time left; leaves time to come back and be served.
+LAST_PATIENCE_SHARE = 0.5  # For those who cannot come back; leaves time to be served.
+# Callers that come back have spent more than this of the route's time-out.
+LAST_CHANCE_SHARE = 0.9
+RESUME_PATIENCE_MS = 1200.0  # Callers leave a stream after a gap of two seconds.
 STALLED_TARGET_AVOID_MS = 1000.0  # A group that lost a rank stalls for seconds.
 SENDS_LIMIT_COUNT = 4  # Bounds rejected sends too, which did not run.
 
@@ -105,13 +109,17 @@
         self._gateway.check_sendable(self._admitted)
         call, route = self._call, self._route
         now_ms = self._clock.now_ms()
-        aim_until_ms = call.arrived_ms + route.aim_ms
-        patience_ms = self._left_ms() * PATIENCE_SHARE
+        last_chance = self._left_ms() < LAST_CHANCE_SHARE * route.timeout_ms
+        share = LAST_PATIENCE_SHARE if last_chance else PATIENCE_SHARE
+        patience_ms = self._left_ms() * share
+        if self._started:
+            patience_ms = min(patience_ms, RESUME_PATIENCE_MS)
         waiting = Waiting(
             arrived_ms=call.arrived_ms,
-            aim_until_ms=aim_until_ms,
+            aim_until_ms=call.arrived_ms + route.aim_ms,
             patience_until_ms=now_ms + patience_ms,
             priority=self._admitted.priority,
+            last_chance=last_chance or self._started,
         )
         return await self._places.take(waiting, tried=frozenset(self._tried))
 
--- a/src/waxwinghold/_gateway/line.py
+++ b/src/waxwinghold/_gateway/line.py
@@ -3,13 +3,18 @@
 Pure decisions: time is an argument, and nothing here waits.
 """
 
+import random
 from collections import deque
 from dataclasses import dataclass
 
 from .._registry import Registry
 
 RATE_WINDOW_MS = 2000.0  # Long enough for a handful of departures of one gateway.
-RETURN_BASE_MS = 150.0  # A refused caller returns when some places have come free.
+RETURN_BASE_MS = 300.0  # About the time in which some places come free.
+RETURN_LIMIT_MS = 2400.0  # Callers come back within a third of their time left.
+# A lost rank is back after some seconds; sooner returns would be in vain.
+STALL_RETURN_MS = 2200.0
+RETURN_SPREAD_RATIO = 0.15  # Callers that were refused together return apart.
 MS_PER_SECOND = 1000
 
 line_policy = Registry(kind="line")
@@ -23,6 +28,7 @@
         arrived_ms: When it was read.
         aim_until_ms: When its answer is no longer on time.
         patience_until_ms: When it is turned away if it still waits.
+        last_chance: Whether the caller has too little time left to come back.
         priority: 0 is the most urgent.
     """
 
@@ -30,6 +36,7 @@
     aim_until_ms: float
     patience_until_ms: float
     priority: int = 0
+    last_chance: bool = False
 
 
 class DepartureRate:
@@ -64,11 +71,11 @@
         """Return the sort key of a waiting request; the lowest goes first."""
         return waiting.arrived_ms
 
-    def admits(self, waiting, *, ahead_count, now_ms):
+    def admits(self, waiting, *, ahead_count, stalled, now_ms):
         """Return whether the request may wait."""
         return True
 
-    def return_after_ms(self, *, waiting_count, now_ms):
+    def return_after_ms(self, *, waiting_count, stalled, now_ms):
         """Return when a refused caller should come back."""
         return RETURN_BASE_MS
 
@@ -82,32 +89,41 @@
     and the others learn at once when to come back.
     """
 
-    def __init__(self):
+    def __init__(self, *, rng=None):
         self.rate = DepartureRate()
+        self._rng = rng or random.Random()
 
     def order_key(self, waiting, *, now_ms):
         """Return the sort key of a waiting request; the lowest goes first."""
         late = now_ms > waiting.aim_until_ms
         return (late, waiting.priority, waiting.arrived_ms)
 
-    def admits(self, waiting, *, ahead_count, now_ms):
+    def admits(self, waiting, *, ahead_count, stalled, now_ms):
         """Return whether the request is likely to get a place in time.
 
         Args:
             ahead_count: Requests that are served before it.
+            stalled: Whether no target of the service makes steps; who can come
+                back later is told so, and who cannot may wait.
         """
+        if stalled:
+            return waiting.last_chance
         rate = self.rate.per_ms(now_ms=now_ms)
         if not rate:
             return ahead_count == 0
         expected_ms = (ahead_count + 1) / rate
         return now_ms + expected_ms <= waiting.patience_until_ms
 
-    def return_after_ms(self, *, waiting_count, now_ms):
+    def return_after_ms(self, *, waiting_count, stalled, now_ms):
         """Return when a refused caller is likely to find a place.
 
         Args:
             waiting_count: Requests that wait now.
+            stalled: Whether no target of the service makes steps.
         """
+        spread = self._rng.uniform(1 - RETURN_SPREAD_RATIO, 1 + RETURN_SPREAD_RATIO)
+        if stalled:
+            return STALL_RETURN_MS * spread
         rate = self.rate.per_ms(now_ms=now_ms)
         ahead_ms = (waiting_count + 1) / rate if rate else 0.0
-        return max(RETURN_BASE_MS, ahead_ms)
+        return min(RETURN_LIMIT_MS, max(RETURN_BASE_MS, ahead_ms)) * spread
--- a/src/waxwinghold/_gateway/places.py
+++ b/src/waxwinghold/_gateway/places.py
@@ -72,9 +72,17 @@
     def return_after_ms(self):
         """Return when a caller that is turned away now should come back."""
         return self._line.return_after_ms(
-            waiting_count=len(self._waiting), now_ms=self._clock.now_ms()
+            waiting_count=len(self._waiting),
+            stalled=self._stalled(),
+            now_ms=self._clock.now_ms(),
         )
 
+    def _stalled(self):
+        """Return whether no target of the service can take anything now."""
+        now_ms = self._clock.now_ms()
+        seats = self._seats.of_service(self.service)
+        return not any(seat.usable(now_ms=now_ms) for seat in seats)
+
     def serve_waiting(self):
         """Give free places to those who wait, in the line's order."""
         if not self._waiting:
@@ -113,7 +121,10 @@
             self._line.order_key(other, now_ms=now_ms) <= key
             for other, _, _ in self._waiting
         )
-        if not self._line.admits(waiting, ahead_count=ahead, now_ms=now_ms):
+        admitted = self._line.admits(
+            waiting, ahead_count=ahead, stalled=self._stalled(), now_ms=now_ms
+        )
+        if not admitted:
             raise self._no_room(f"{ahead} requests wait for a place before it")
 
     def _no_room(self, reason):
--- a/src/waxwinghold/_gateway/seats.py
+++ b/src/waxwinghold/_gateway/seats.py
@@ -13,6 +13,7 @@
 AVOID_LIMIT_MS = 3000.0  # A crashed target is back after some seconds.
 FULL_AVOID_MS = 60.0  # One step of a full batch; a place may be free after it.
 FAILURE_SMOOTHING_RATIO = 0.2  # Weighs about the last five answers.
+STANDSTILL_LIMIT_MS = 450.0  # A full batch takes some 130 ms for a pass.
 RANK_TRUST_MS = 1000.0  # Several notices of a rank may be lost.
 LOAD_TRUST_MS = 400.0  # Reports lag by some hundred ms.
 
@@ -50,6 +51,7 @@
         self.load = None
         self.rank = None
         self.rank_heard_ms = 0.0
+        self.stepped_ms = 0.0
 
     @property
     def held_count(self):
@@ -74,7 +76,24 @@
         rank = self.rank
         if rank is None or now_ms - self.rank_heard_ms > RANK_TRUST_MS:
             return False
-        return not rank.is_open
+        if not rank.is_open:
+            return True
+        busy = rank.running_count > 0
+        return busy and self.rank_heard_ms - self.stepped_ms > STANDSTILL_LIMIT_MS
+
+    def take_rank(self, notice, *, now_ms):
+        """Take in a notice of the agent beside the target; say if it is news."""
+        known = self.rank
+        if known is not None:
+            order = (known.started_ms, known.sequence)
+            if (notice.started_ms, notice.sequence) <= order:
+                return False
+        stalled = self.stalled(now_ms)
+        if known is None or known.running_count == 0 or known.step != notice.step:
+            self.stepped_ms = now_ms
+        self.rank = notice
+        self.rank_heard_ms = now_ms
+        return stalled != self.stalled(now_ms)
 
     def note_success(self):
         """Take in that the target answered."""
@@ -155,20 +174,15 @@
         seat = self._by_address.get(notice.address)
         if seat is None:
             return
-        known = seat.rank
-        if known is not None:
-            order = (known.started_ms, known.sequence)
-            if (notice.started_ms, notice.sequence) <= order:
-                return
-        seat.rank = notice
-        seat.rank_heard_ms = self._clock.now_ms()
-        if known is None or known.is_open != notice.is_open:
+        now_ms = self._clock.now_ms()
+        if seat.take_rank(notice, now_ms=now_ms):
             log.info(
-                "group state",
+                "group stalls" if seat.stalled(now_ms) else "group makes steps",
                 extra={
                     "target": seat.target.name,
                     "group": notice.group,
                     "open": notice.is_open,
+                    "step": notice.step,
                 },
             )
             self.changed()
