--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -25,15 +25,22 @@
 
 MS_PER_SECOND = 1000
 FIRST_ERROR_STATUS = 500
-STREAM_SILENCE_MS = 1700.0  # Callers leave a stream after a gap of two seconds.
-FIRST_EVENT_LIMIT_MS = 2500.0  # Longer than a target's own stall of 1.5 s.
+# Callers leave a stream, also before its first event, after the longest of these.
+STREAM_GAP_MS = 2000.0
+STREAM_GAP_AIMS_COUNT = 4
+STREAM_GAP_PAUSES_COUNT = 8
+# Parts of that gap: after the first another target has time to answer; a place
+# found after the second comes too late for the first event.
+SILENCE_SHARE = 0.55
+PLACE_SHARE = 0.8
+LAST_SILENCE_SHARE = 0.95  # Without another target, a silent one may still answer.
 SHARE_OF_TIME_FOR_FIRST = 0.45  # Leaves a second target as much time as the first.
 SHORTEST_SEND_MS = 30.0  # A send with less time left cannot be answered.
 PATIENCE_SHARE = 0.25  # Of the time left; leaves time to come back and be served.
 LAST_PATIENCE_SHARE = 0.5  # For those who cannot come back; leaves time to be served.
 # Callers that come back have spent more than this of the route's time-out.
 LAST_CHANCE_SHARE = 0.9
-RESUME_PATIENCE_MS = 1200.0  # Callers leave a stream after a gap of two seconds.
+RESUME_PATIENCE_MS = 600.0  # What is left of the gap when a stream breaks off.
 STALLED_TARGET_AVOID_MS = 1000.0  # A group that lost a rank stalls for seconds.
 SENDS_LIMIT_COUNT = 4  # Bounds rejected sends too, which did not run.
 
@@ -114,6 +121,9 @@
         patience_ms = self._left_ms() * share
         if self._started:
             patience_ms = min(patience_ms, RESUME_PATIENCE_MS)
+        elif route.kind is RequestKind.STREAM:
+            held_ms = now_ms - call.arrived_ms
+            patience_ms = min(patience_ms, PLACE_SHARE * self._gap_ms() - held_ms)
         waiting = Waiting(
             arrived_ms=call.arrived_ms,
             aim_until_ms=call.arrived_ms + route.aim_ms,
@@ -190,9 +200,18 @@
         if not self._route.repeatable or not self._has_attempts_left():
             return left_ms
         if self._route.kind is RequestKind.STREAM:
-            return min(left_ms, FIRST_EVENT_LIMIT_MS)
+            return min(left_ms, SILENCE_SHARE * self._gap_ms())
         return left_ms * SHARE_OF_TIME_FOR_FIRST
 
+    def _gap_ms(self):
+        """Return the pause after which the caller leaves a stream."""
+        route = self._route
+        return max(
+            STREAM_GAP_MS,
+            STREAM_GAP_AIMS_COUNT * route.aim_ms,
+            STREAM_GAP_PAUSES_COUNT * route.gap_aim_ms,
+        )
+
     async def _pass_whole(self, seat, connection, head):
         body = await self._within(connection.whole_body(), self._send_limit_ms())
         if head.status >= FIRST_ERROR_STATUS:
@@ -209,8 +228,7 @@
             self._started = True
             await self._answer.start(status=head.status, headers=headers)
         while True:
-            limit_ms = min(self._left_ms(), STREAM_SILENCE_MS)
-            data = await self._within(connection.body(), limit_ms)
+            data = await self._stream_data(connection)
             if not data:
                 break
             try:
@@ -222,6 +240,18 @@
             raise MalformedAnswerError("the stream ended inside an event")
         await self._answer.finish()
 
+    async def _stream_data(self, connection):
+        """Return the next bytes of a stream; a silent target is left for another."""
+        waited_ms = min(self._left_ms(), SILENCE_SHARE * self._gap_ms())
+        try:
+            return await self._within(connection.body(), waited_ms)
+        except SilentTargetError:
+            elsewhere = self._route.repeatable and self._has_attempts_left()
+            if elsewhere and self._places.has_room(tried=self._tried):
+                raise
+        rest_ms = min(self._left_ms(), LAST_SILENCE_SHARE * self._gap_ms() - waited_ms)
+        return await self._within(connection.body(), rest_ms)
+
     async def _pass_events(self, events):
         passed = []
         for event, number in events:
--- a/src/waxwinghold/_gateway/front.py
+++ b/src/waxwinghold/_gateway/front.py
@@ -108,6 +108,14 @@
             else:
                 _close_idle_connection(protocol)
 
+    def close(self):
+        """Stop listening and drop every connection."""
+        if self._listener is None:
+            return
+        self._listener.close()
+        for protocol in self._server.connections:
+            _close_idle_connection(protocol)
+
     def _busy(self):
         return {
             protocol
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -59,6 +59,7 @@
         self._front = Front(gateway=self)
         self._places = {}
         self._budgets = {}
+        self._servers = []
         self._stopping = False
         self._refusing = False
         self._stop = asyncio.Event()
@@ -160,8 +161,20 @@
         log.info("gateway is up", extra={"name": self.settings.name})
         await self._stop.wait()
         await self._finish()
+        await self.close()
         log.info("gateway has ended", extra={"name": self.settings.name})
 
+    async def close(self):
+        """Close every connection and end every task."""
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        for server in self._servers:
+            server.close()
+        self._front.close()
+        self.peers.close()
+        self.seats.replace([])
+
     def _admit(self, call):
         table = self.published.table
         if table is None:
@@ -217,9 +230,10 @@
         loop = asyncio.get_running_loop()
         server = web.Server(handle, access_log=None)
         address = split_ip_port(self.settings.readiness_address)
-        await loop.create_server(server, *address)
+        self._servers.append(await loop.create_server(server, *address))
         if self.settings.metrics_port:
-            await loop.create_server(server, address[0], self.settings.metrics_port)
+            address = (address[0], self.settings.metrics_port)
+            self._servers.append(await loop.create_server(server, *address))
 
     async def _tick(self):
         ticks = 0
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -82,6 +82,11 @@
             self._send_notices()
             await self._clock.sleep_ms(self._interval_ms())
 
+    def close(self):
+        """Send and take in nothing more."""
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport):
         self._transport = transport
 
--- a/src/waxwinghold/_gateway/places.py
+++ b/src/waxwinghold/_gateway/places.py
@@ -63,6 +63,10 @@
                 raise self._no_room("no place came free in time") from None
             raise
 
+    def has_room(self, *, tried):
+        """Return whether a target outside ``tried`` could take a request now."""
+        return not self._waiting and self._free_seat(tried) is not None
+
     def give_back(self, seat):
         """Free a place."""
         seat.in_flight_count -= 1
--- /dev/null
+++ b/src/waxwinghold_standins/_raw_http.py
@@ -0,0 +1,102 @@
+"""A bare HTTP/1.1 server for stand-ins that must be able to answer wrongly."""
+
+import asyncio
+import socket
+import struct
+from dataclasses import dataclass, field
+
+
+@dataclass(kw_only=True)
+class RawRequest:
+    """A request as it was read.
+
+    Args:
+        headers: By name in lower case.
+    """
+
+    method: str
+    path: str
+    headers: dict = field(default_factory=dict)
+    body: bytes = b""
+
+
+class RawServer:
+    """Reads requests and hands each to ``handle`` with the connection's writer.
+
+    Attributes:
+        address: ``(ip, port)`` once started.
+        connections_count: Connections accepted so far.
+    """
+
+    def __init__(self):
+        self.address = None
+        self.connections_count = 0
+        self._server = None
+        self._writers = set()
+        self._tasks = set()
+
+    async def start(self, ip="127.0.0.1", port=0):
+        """Listen; port 0 takes a free one."""
+        self._server = await asyncio.start_server(self._serve, ip, port)
+        self.address = self._server.sockets[0].getsockname()[:2]
+
+    async def stop(self):
+        """Stop listening and reset every connection."""
+        self._server.close()
+        for writer in list(self._writers):
+            writer.transport.abort()
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    async def handle(self, request, writer):
+        """Answer one request; return whether the connection stays open."""
+        raise NotImplementedError
+
+    async def _serve(self, reader, writer):
+        self.connections_count += 1
+        self._writers.add(writer)
+        self._tasks.add(asyncio.current_task())
+        try:
+            while True:
+                request = await read_request(reader)
+                if request is None or not await self.handle(request, writer):
+                    break
+        except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            return
+        finally:
+            self._writers.discard(writer)
+            self._tasks.discard(asyncio.current_task())
+            writer.close()
+
+
+def reset(writer):
+    """Reset a connection: its other end sees no orderly end."""
+    sock = writer.get_extra_info("socket")
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    writer.transport.abort()
+
+
+async def read_request(reader):
+    """Return the next ``RawRequest``, or ``None`` at the connection's end."""
+    try:
+        head = await reader.readuntil(b"\r\n\r\n")
+    except asyncio.IncompleteReadError:
+        return None
+    first, *lines = head.decode("latin-1").split("\r\n")[:-2]
+    method, path, _ = first.split(" ", 2)
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return RawRequest(method=method, path=path, headers=headers, body=body)
+
+
+def answer_bytes(status, headers=(), body=b"", *, length=True):
+    """Return the bytes of an answer; without ``length`` it ends with the connection."""
+    lines = [f"HTTP/1.1 {status} Answer"]
+    lines += [f"{name}: {value}" for name, value in headers]
+    if length:
+        lines.append(f"Content-Length: {len(body)}")
+    return "\r\n".join([*lines, "", ""]).encode() + body
--- /dev/null
+++ b/tests/support/gateway.py
@@ -0,0 +1,184 @@
+"""A gateway of one's own, with stand-ins for store, workers and callers."""
+
+import asyncio
+import socket
+from contextlib import asynccontextmanager
+
+import aiohttp
+import logbook
+
+from waxwinghold._clock import Clock
+from waxwinghold._gateway.gateway import Gateway
+from waxwinghold._gateway.settings import GatewaySettings
+from waxwinghold.platform.speech import PlatformSpeech
+from waxwinghold.platform.store import StoreWatcher
+from waxwinghold_standins.fleet_store import FleetStore, route_entry, worker_entry
+from waxwinghold_standins.fleet_worker import FleetWorker
+
+HOST = "shop.example"
+KEY = "key-of-a-customer"
+READY_LIMIT_S = 5.0
+
+
+class FakeClock:
+    """A clock that tests move."""
+
+    def __init__(self, now_ms=1_000_000.0):
+        self.time_ms = now_ms
+
+    def now_ms(self):
+        return self.time_ms
+
+    def wall_ms(self):
+        return int(self.time_ms)
+
+
+def free_port(kind=socket.SOCK_STREAM):
+    """Return a port of loopback that nothing listens on."""
+    with socket.socket(socket.AF_INET, kind) as sock:
+        sock.bind(("127.0.0.1", 0))
+        return sock.getsockname()[1]
+
+
+def configuration(version=1, routes=(), tenants=None, **fields):
+    """Return a configuration as the operator writes it."""
+    if tenants is None:
+        tenants = [{"name": "a-customer", "api-keys": [KEY], "priority": 1}]
+    return {
+        "version": version,
+        "routes": list(routes) or standard_routes(),
+        "services": [{"name": "models", "max-conns": 50}],
+        "tenants": tenants,
+        **fields,
+    }
+
+
+def standard_routes():
+    """Return a route of each kind, all to the service ``models``."""
+    stream = {"resumable": True, "gap-goal-ms": 120, "timeout-ms": 8000}
+    return [
+        route_entry(name="safe", prefix="/safe/", kind="safe", service="models"),
+        route_entry(
+            name="unsafe",
+            prefix="/unsafe/",
+            kind="unsafe",
+            service="models",
+            **{"max-attempts": 1},
+        ),
+        route_entry(
+            name="stream", prefix="/stream/", kind="stream", service="models", **stream
+        ),
+        route_entry(name="once", prefix="/once/", kind="stream", service="models"),
+    ]
+
+
+class GatewayScene:
+    """A running gateway in front of workers.
+
+    Attributes:
+        workers: ``FleetWorker`` stand-ins, in the order of their names.
+    """
+
+    def __init__(self, *, behaviours, **settings):
+        self.store = FleetStore()
+        self.workers = [
+            FleetWorker(name=f"w{number}", behaviour=behaviour)
+            for number, behaviour in enumerate(behaviours)
+        ]
+        self.port = free_port()
+        self.ready_port = free_port()
+        self._settings = settings
+        self.gateway = None
+        self.running = None
+
+    @asynccontextmanager
+    async def open(self):
+        """Run everything until the end of the block."""
+        handler = logbook.NullHandler()
+        handler.push_application()
+        await self.store.start()
+        for worker in self.workers:
+            await worker.start()
+            self.list_worker(worker)
+        self.store.put("op/config", configuration())
+        self.start_gateway()
+        try:
+            await self.wait_ready()
+            yield self
+        finally:
+            await self.stop_gateway()
+            for server in (self.store, *self.workers):
+                await server.stop()
+            handler.pop_application()
+
+    def list_worker(self, worker, **fields):
+        """Register ``worker`` in the store."""
+        entry = worker_entry(service="models", address=worker.address, **fields)
+        self.store.put(f"servers/{worker.name}", entry)
+
+    def start_gateway(self):
+        settings = GatewaySettings(
+            name="gateway-1",
+            data_centre="dc-a",
+            callers_address=f"127.0.0.1:{self.port}",
+            readiness_address=f"127.0.0.1:{self.ready_port}",
+            store_address="{}:{}".format(*self.store.address),
+            peers_ip="127.0.0.1",
+            peers_port=free_port(socket.SOCK_DGRAM),
+            **self._settings,
+        )
+        clock = Clock()
+
+        def make_source(published):
+            return StoreWatcher(
+                clock=clock, published=published, address=self.store.address
+            )
+
+        self.gateway = Gateway(
+            clock=clock,
+            settings=settings,
+            speech=PlatformSpeech(),
+            make_source=make_source,
+        )
+        self.running = asyncio.create_task(self.gateway.run())
+
+    async def stop_gateway(self):
+        self.running.cancel()
+        await asyncio.gather(self.running, return_exceptions=True)
+        await self.gateway.close()
+
+    async def wait_ready(self):
+        """Wait until the gateway says that it is ready and knows all workers."""
+        async with asyncio.timeout(READY_LIMIT_S):
+            while await self.readiness() != 200 or len(list(self.gateway.seats)) < len(
+                self.workers
+            ):
+                await asyncio.sleep(0.01)
+
+    async def readiness(self):
+        """Return the status of the readiness check, or ``None`` without one."""
+        try:
+            async with aiohttp.ClientSession() as session:
+                url = f"http://127.0.0.1:{self.ready_port}/v1/readyz"
+                async with session.get(url) as answer:
+                    return answer.status
+        except aiohttp.ClientError:
+            return None
+
+    async def call(self, path, *, method="GET", request_id="r-1", **headers):
+        """Return ``(status, headers, body)``; body is ``None`` if cut off."""
+        sent = {"Host": HOST, "Attempt-Id": request_id, "Credential": KEY}
+        sent.update({name.replace("_", "-"): value for name, value in headers.items()})
+        sent = {name: value for name, value in sent.items() if value is not None}
+        url = f"http://127.0.0.1:{self.port}{path}"
+        async with aiohttp.ClientSession(auto_decompress=False) as session:
+            async with session.request(method, url, headers=sent) as answer:
+                try:
+                    body = await answer.read()
+                except aiohttp.ClientError:
+                    body = None
+                return answer.status, answer.headers, body
+
+    def runs(self, request_id="r-1"):
+        """Return how often the workers ran the request."""
+        return sum(worker.runs.count(request_id) for worker in self.workers)
--- /dev/null
+++ b/tests/test_gateway_seats.py
@@ -0,0 +1,154 @@
+"""What is believed of targets, and which of them gets a request."""
+
+import random
+import unittest
+
+from waxwinghold._gateway.choice import seat_policy
+from waxwinghold._gateway.model import Target, TargetState
+from waxwinghold._gateway.notices import FORMAT, RankNotice
+from waxwinghold._gateway.seats import Seats
+
+from .support.gateway import FakeClock
+
+SLOTS_COUNT = 6
+
+
+def target(name, *, data_centre="dc-a", state=TargetState.READY, born_ms=1):
+    number = int(name.strip("w"))
+    return Target(
+        name=name,
+        service="models",
+        address=("127.0.0.1", 1000 + number),
+        data_centre=data_centre,
+        slots_count=SLOTS_COUNT,
+        state=state,
+        born_ms=born_ms,
+    )
+
+
+def rank_notice(number, *, sequence=1, is_open=True, step=10, running=1):
+    return RankNotice(
+        format=FORMAT,
+        address=f"127.0.0.1:{1000 + number}",
+        started_ms=1,
+        sequence=sequence,
+        born_ms=1,
+        group="g",
+        epoch=1,
+        rank=number,
+        size=2,
+        is_open=is_open,
+        step=step,
+        map_version=0,
+        prepared=None,
+        armed=None,
+        held=None,
+        orders_count=0,
+        running_count=running,
+        waiting_count=0,
+        pace=1.0,
+    )
+
+
+class SeatCase(unittest.TestCase):
+    def setUp(self):
+        self.clock = FakeClock()
+        self.seats = Seats(clock=self.clock)
+        self.seats.replace([target("w0"), target("w1")])
+        self.policy = seat_policy.make(
+            "least_held", data_centre="dc-a", rng=random.Random(1)
+        )
+
+    def choose(self, tried=frozenset()):
+        seat = self.policy.choose(
+            self.seats.of_service("models"), tried=tried, now_ms=self.clock.now_ms()
+        )
+        return seat.target.name if seat else None
+
+
+class ChoiceTests(SeatCase):
+    def test_the_counts_of_other_gateways_decide(self):
+        self.seats.get("w0").others_count = 4
+        self.seats.get("w1").in_flight_count = 1
+        self.assertEqual(self.choose(), "w1")
+        naive = seat_policy.make("fewest_own", rng=random.Random(1))
+        seats = self.seats.of_service("models")
+        chosen = naive.choose(seats, tried=frozenset(), now_ms=0.0)
+        self.assertEqual(chosen.target.name, "w0")
+
+    def test_a_full_target_gets_nothing(self):
+        self.seats.get("w0").others_count = SLOTS_COUNT
+        self.assertEqual(self.choose(), "w1")
+        self.seats.get("w1").in_flight_count = SLOTS_COUNT
+        self.assertIsNone(self.choose())
+
+    def test_a_target_that_fails_with_good_health_gets_less(self):
+        chosen = []
+        for _ in range(200):
+            name = self.choose()
+            chosen.append(name)
+            if name == "w0":
+                self.seats.get("w0").note_error_answer()
+            else:
+                self.seats.get("w1").note_success()
+        self.assertLess(chosen.count("w0"), 40)
+
+    def test_a_leaving_target_gets_nothing(self):
+        self.seats.replace([target("w0", state=TargetState.LEAVING), target("w1")])
+        self.assertEqual({self.choose() for _ in range(20)}, {"w1"})
+
+    def test_the_own_data_centre_is_preferred_among_equals(self):
+        self.seats.replace([target("w0", data_centre="dc-b"), target("w1")])
+        self.assertEqual({self.choose() for _ in range(20)}, {"w1"})
+
+
+class BeliefTests(SeatCase):
+    def test_a_rejection_with_free_places_pauses_longer_than_a_full_target(self):
+        idle, full = self.seats.get("w0"), self.seats.get("w1")
+        full.others_count = SLOTS_COUNT
+        idle.note_full(now_ms=self.clock.now_ms())
+        full.note_full(now_ms=self.clock.now_ms())
+        self.assertGreater(idle.avoid_until_ms, full.avoid_until_ms + 300)
+
+    def test_failures_in_a_row_pause_longer_and_success_ends_it(self):
+        seat = self.seats.get("w0")
+        pauses = []
+        for _ in range(3):
+            seat.note_failure(now_ms=0.0)
+            pauses.append(seat.avoid_until_ms)
+        self.assertEqual(pauses, sorted(set(pauses)))
+        seat.note_success()
+        self.assertTrue(seat.usable(now_ms=0.0))
+
+    def test_a_group_that_is_not_open_gets_nothing(self):
+        self.seats.take_rank(rank_notice(0, is_open=False))
+        self.seats.take_rank(rank_notice(1))
+        self.assertEqual({self.choose() for _ in range(20)}, {"w1"})
+
+    def test_a_group_without_steps_gets_nothing_until_it_steps(self):
+        for sequence in range(1, 8):
+            self.clock.time_ms += 100
+            self.seats.take_rank(rank_notice(0, sequence=sequence, step=10))
+            step = 10 + sequence
+            self.seats.take_rank(rank_notice(1, sequence=sequence, step=step))
+        self.assertEqual({self.choose() for _ in range(20)}, {"w1"})
+        self.seats.take_rank(rank_notice(0, sequence=9, step=11))
+        self.assertEqual({self.choose() for _ in range(40)}, {"w0", "w1"})
+
+    def test_an_idle_group_makes_no_steps_and_is_not_stalled(self):
+        for sequence in range(1, 12):
+            self.clock.time_ms += 100
+            self.seats.take_rank(rank_notice(0, sequence=sequence, running=0))
+        self.assertFalse(self.seats.get("w0").stalled(self.clock.now_ms()))
+
+    def test_an_older_notice_changes_nothing(self):
+        self.seats.take_rank(rank_notice(0, sequence=5, is_open=True))
+        self.seats.take_rank(rank_notice(0, sequence=4, is_open=False))
+        self.assertTrue(self.seats.get("w0").rank.is_open)
+
+    def test_a_restart_under_the_same_name_is_another_target(self):
+        seat = self.seats.get("w0")
+        seat.note_failure(now_ms=self.clock.now_ms())
+        self.seats.replace([target("w0", born_ms=2), target("w1")])
+        self.assertIsNot(self.seats.get("w0"), seat)
+        self.assertTrue(self.seats.get("w0").usable(now_ms=self.clock.now_ms()))
