--- /dev/null
+++ b/tests/test_platform_entries.py
@@ -0,0 +1,87 @@
+"""What lies in the store is decoded once; what cannot be read harms nothing."""
+
+import json
+import unittest
+
+import logbook
+
+from waxwinghold._gateway.model import RequestKind, TargetState
+from waxwinghold.platform.entries import read_configuration, read_target
+from waxwinghold_standins.fleet_store import route_entry, worker_entry
+
+
+class EntriesCase(unittest.TestCase):
+    def setUp(self):
+        self.logs = logbook.TestHandler()
+        self.logs.push_application()
+        self.addCleanup(self.logs.pop_application)
+
+
+class TargetTests(EntriesCase):
+    def entry(self, **fields):
+        return worker_entry(service="models", address=("10.0.0.1", 80)) | fields
+
+    def test_an_entry_names_a_target(self):
+        data = json.dumps(self.entry(state="draining", born=7, strange=[1])).encode()
+        target = read_target("i-1", data)
+        self.assertEqual(target.address, ("10.0.0.1", 80))
+        self.assertEqual(target.state, TargetState.LEAVING)
+        self.assertEqual((target.name, target.born_ms), ("i-1", 7))
+
+    def test_foreign_entries_are_set_aside_and_logged(self):
+        missing = self.entry()
+        del missing["address"]
+        for value in (
+            b"\xff\xfe",
+            b"[]",
+            b"null",
+            json.dumps(missing).encode(),
+            json.dumps(self.entry(state="resting")).encode(),
+            json.dumps(self.entry(slots="six")).encode(),
+            json.dumps(self.entry(slots=0)).encode(),
+            json.dumps(self.entry(service=4)).encode(),
+            json.dumps(self.entry(address="nowhere")).encode(),
+            json.dumps(self.entry(address="10.0.0.1:x")).encode(),
+        ):
+            with self.subTest(value=value):
+                self.logs.records.clear()
+                self.assertIsNone(read_target("i-1", value))
+                self.assertTrue(self.logs.records)
+
+
+class ConfigurationTests(EntriesCase):
+    def document(self, **fields):
+        routes = [
+            route_entry(name="r", prefix="/a/", kind="stream", service="s"),
+            route_entry(
+                name="q",
+                prefix="/b/",
+                kind="safe",
+                service="",
+                split=[{"service": "s", "weight": 90}, {"service": "t", "weight": 10}],
+            ),
+        ]
+        return {"version": 3, "routes": routes, "services": []} | fields
+
+    def test_routes_limits_and_customers_are_read(self):
+        limits = {"max-body-bytes": 10, "idle-timeout-ms": 5000}
+        tenants = [{"name": "t", "api-keys": ["k"], "priority": 0}]
+        document = self.document(limits=limits, tenants=tenants)
+        found = read_configuration(json.dumps(document).encode())
+        self.assertEqual(found.version, 3)
+        self.assertEqual(found.routes[0].kind, RequestKind.STREAM)
+        self.assertEqual([one.weight for one in found.routes[1].shares], [90, 10])
+        self.assertEqual(found.limits.body_bytes, 10)
+        self.assertEqual(found.limits.idle_timeout_ms, 5000)
+        self.assertEqual(found.customers[0].priority, 0)
+
+    def test_an_unreadable_one_is_set_aside_whole(self):
+        odd_route = route_entry(name="r", prefix="/a/", kind="odd", service="s")
+        for value in (
+            b"",
+            b"{}",
+            json.dumps(self.document(version="x")).encode(),
+            json.dumps(self.document(routes=[odd_route])).encode(),
+        ):
+            with self.subTest(value=value):
+                self.assertIsNone(read_configuration(value))
--- /dev/null
+++ b/tests/test_platform_names.py
@@ -0,0 +1,37 @@
+"""Only the adapter knows the platform's names."""
+
+import pathlib
+import re
+import unittest
+
+PACKAGE = pathlib.Path(__file__).parents[1] / "src" / "waxwinghold"
+NAMES = re.compile(
+    r"(?<![\w-])(Attempt-Id|Expect-Instance|Server-Seal|Not-Executed|Server-Load|"
+    r"Credential|Token-Count|Prompt-Prefix|Deadline-Ms|At-Server|Instance-Id|"
+    r"kv-range|kv-watch|kv-key|op/config|route-kind|heartbeat-ms)(?![\w-])|"
+    r"/v1/(order|picked|report|kv)",
+    re.IGNORECASE,
+)
+# A module of the sheet has the same name; it knows the project's own platform.
+IMPORT = re.compile(r"^\s*(from|import) (waxwinghold\.platform|\.\.+platform)", re.M)
+
+
+class NamesTests(unittest.TestCase):
+    def test_nothing_outside_the_adapter_names_them(self):
+        found = []
+        for path in PACKAGE.rglob("*.py"):
+            if PACKAGE / "platform" in path.parents:
+                continue
+            for number, line in enumerate(path.read_text().splitlines(), 1):
+                if NAMES.search(line):
+                    found.append(f"{path.name}:{number}: {line.strip()}")
+        self.assertEqual(found, [])
+
+    def test_nothing_outside_the_adapter_imports_it(self):
+        for path in PACKAGE.rglob("*.py"):
+            if PACKAGE / "platform" in path.parents:
+                continue
+            text = path.read_text()
+            self.assertIsNone(IMPORT.search(text), path.name)
+            if path.parent == PACKAGE:
+                self.assertNotIn("from .platform", text, path.name)
--- /dev/null
+++ b/tests/test_platform_store.py
@@ -0,0 +1,155 @@
+"""The store is read by pages and watched, through all of its troubles."""
+
+import asyncio
+import unittest
+
+import logbook
+
+from waxwinghold._clock import Clock
+from waxwinghold._gateway.model import Target
+from waxwinghold._gateway.published import Published
+from waxwinghold._gateway.seats import Seats
+from waxwinghold.platform.store import StoreWatcher
+from waxwinghold_standins.fleet_store import FleetStore, worker_entry
+
+from .support.gateway import FakeClock, configuration
+
+GRACE_MS = 2000.0
+
+
+class WatchCase(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+        self.store = FleetStore(page_count=2)
+        await self.store.start()
+        self.addAsyncCleanup(self.store.stop)
+        clock = Clock()
+        self.seats = Seats(clock=clock)
+        self.published = Published(clock=clock, seats=self.seats, grace_ms=GRACE_MS)
+        self.watcher = StoreWatcher(
+            clock=clock, published=self.published, address=self.store.address
+        )
+
+    def start(self):
+        task = asyncio.create_task(self.watcher.run())
+        self.addCleanup(task.cancel)
+
+    def list_worker(self, name, **fields):
+        entry = worker_entry(service="models", address=("127.0.0.1", 1), **fields)
+        self.store.put(f"servers/{name}", entry)
+
+    def names(self):
+        return {seat.target.name for seat in self.seats}
+
+    async def until(self, condition, limit_s=5):
+        async with asyncio.timeout(limit_s):
+            while not condition():
+                await asyncio.sleep(0.01)
+
+    @property
+    def version(self):
+        table = self.published.table
+        return table.configuration.version if table else None
+
+
+class WatchTests(WatchCase):
+    async def test_all_pages_are_read(self):
+        for number in range(7):
+            self.list_worker(f"i-{number}")
+        self.store.put("op/config", configuration())
+        self.start()
+        await self.until(lambda: len(self.names()) == 7 and self.version == 1)
+
+    async def test_changes_arrive_with_the_watch(self):
+        self.start()
+        await self.until(lambda: self.published.age_ms < 1000)
+        self.list_worker("i-1")
+        self.store.put("op/config", configuration(version=2))
+        await self.until(lambda: self.names() == {"i-1"} and self.version == 2)
+        self.store.delete("servers/i-1")
+        await self.until(lambda: self.names() == set())
+
+    async def test_a_quiet_store_costs_a_call_each_wait(self):
+        self.start()
+        await asyncio.sleep(1.0)
+        self.assertLessEqual(len(self.store.calls), 4)
+
+    async def test_a_forgotten_history_is_read_anew(self):
+        self.list_worker("i-1")
+        self.start()
+        await self.until(lambda: self.names() == {"i-1"})
+        self.store.trouble = "reset"
+        self.list_worker("i-2")
+        self.store.delete("servers/i-1")
+        self.store.forget_history()
+        self.store.trouble = ""
+        await self.until(lambda: self.names() >= {"i-2"})
+
+    async def test_every_trouble_passes_and_ages_what_is_known(self):
+        self.start()
+        for trouble in ("busy", "many", "reset", "silent"):
+            with self.subTest(trouble=trouble):
+                await self.until(lambda: self.published.age_ms < 2000)
+                self.store.trouble = trouble
+                before_ms = self.published.asked_ms
+                await asyncio.sleep(0.5)
+                self.store.trouble = ""
+                await self.until(lambda: self.published.asked_ms > before_ms, 8)
+
+
+class ListTests(unittest.TestCase):
+    def setUp(self):
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+        self.clock = FakeClock()
+        self.seats = Seats(clock=self.clock)
+        self.published = Published(
+            clock=self.clock, seats=self.seats, grace_ms=GRACE_MS
+        )
+
+    def take(self, *names):
+        self.published.take_targets(
+            [
+                Target(
+                    name=name,
+                    service="s",
+                    address=("127.0.0.1", 1),
+                    data_centre="dc-a",
+                    slots_count=1,
+                )
+                for name in names
+            ]
+        )
+
+    def names(self):
+        return {seat.target.name for seat in self.seats}
+
+    def test_a_target_that_is_no_longer_listed_is_gone_at_once(self):
+        self.take("a", "b")
+        self.clock.time_ms += 60_000
+        self.published.note_answer(asked_ms=self.clock.now_ms())
+        self.take("b")
+        self.assertEqual(self.names(), {"b"})
+
+    def test_after_an_outage_it_has_time_to_be_listed_again(self):
+        self.take("a", "b")
+        self.published.note_failure("down")
+        self.clock.time_ms += 5000
+        self.published.note_answer(asked_ms=self.clock.now_ms())
+        self.take("b")
+        self.assertEqual(self.names(), {"a", "b"})
+        self.clock.time_ms += GRACE_MS - 1
+        self.published.drop_missing()
+        self.assertEqual(self.names(), {"a", "b"})
+        self.clock.time_ms += 2
+        self.published.drop_missing()
+        self.assertEqual(self.names(), {"b"})
+
+    def test_the_age_counts_from_the_asking(self):
+        asked_ms = self.clock.now_ms()
+        self.clock.time_ms += 1400
+        self.published.note_answer(asked_ms=asked_ms)
+        self.assertEqual(self.published.age_ms, 1400)
--- /dev/null
+++ b/tests/test_ranks_leader.py
@@ -0,0 +1,272 @@
+"""Map changes against orders that are lost, doubled and late, and restarts.
+
+Time is simulated: a loop whose clock jumps to the next timer.
+"""
+
+import asyncio
+import random
+import unittest
+
+import logbook
+
+from waxwinghold._gateway.notices import FORMAT, RankNotice
+from waxwinghold._ranks.leader import GroupChangedError, Leader
+from waxwinghold._ranks.model import OrderKind
+from waxwinghold._ranks.view import GroupView
+from waxwinghold_standins.fleet_ranks import FleetGroup
+
+PASS_MS = 60
+RANKS_COUNT = 4
+
+
+class JumpingLoop(asyncio.SelectorEventLoop):
+    """An event loop whose time is that of its next timer."""
+
+    def __init__(self):
+        super().__init__()
+        self._now = 1000.0
+
+    def time(self):
+        return self._now
+
+    def _run_once(self):
+        if not self._ready and self._scheduled:
+            self._now = max(self._now, self._scheduled[0]._when)
+        super()._run_once()
+
+
+class LoopClock:
+    """The product's clock on the loop's time."""
+
+    def now_ms(self):
+        return asyncio.get_running_loop().time() * 1000
+
+    def wall_ms(self):
+        return int(self.now_ms())
+
+    async def sleep_ms(self, duration_ms):
+        await asyncio.sleep(duration_ms / 1000)
+
+
+class World:
+    """A group, the agents' notices, and a leader that may be started anew.
+
+    Args:
+        lost_ratio: Orders that never arrive.
+        late_ratio: Orders that are carried out up to 12 s late.
+        doubled_ratio: Orders that are carried out a second time, later.
+    """
+
+    def __init__(self, *, seed, lost_ratio=0.0, late_ratio=0.0, doubled_ratio=0.0):
+        self.rng = random.Random(seed)
+        self.group = FleetGroup(ranks_count=RANKS_COUNT)
+        self.clock = LoopClock()
+        self._ratios = (lost_ratio, late_ratio, doubled_ratio)
+        self._sequence = 0
+        self._tasks = set()
+        self._token = 0
+        self.stopped_ms = 0.0
+        self.view = None
+        self.leader = None
+        self.start_leader()
+        self.spawn(self._passes())
+        self.spawn(self._notices())
+
+    def start_leader(self):
+        self._token += 1
+        self.view = GroupView(clock=self.clock)
+        self.leader = Leader(
+            clock=self.clock, group=self.view, send=self._send, token=self._token
+        )
+
+    def spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+        return task
+
+    async def close(self):
+        for task in list(self._tasks):
+            task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+
+    def new_map(self):
+        """Return a map that gives each rank one expert more."""
+        maps = [self.group.first_map(rank) for rank in range(RANKS_COUNT)]
+        extra = self.rng.randrange(16)
+        return [
+            [sorted({*maps[rank][one], extra}) for rank in range(RANKS_COUNT)]
+            for one in range(2)
+        ]
+
+    def _send(self, rank, order):
+        self.spawn(self._deliver(rank, order))
+
+    async def _deliver(self, rank, order):
+        lost, late, doubled = self._ratios
+        await self.clock.sleep_ms(self.rng.uniform(0.5, 8))
+        draw = self.rng.random()
+        if draw < lost:
+            return
+        if draw < lost + late:
+            await self.clock.sleep_ms(self.rng.uniform(2000, 12_000))
+        self.group.ranks[rank].carry_out(order)
+        if self.rng.random() < doubled:
+            await self.clock.sleep_ms(self.rng.uniform(10, 9000))
+            self.group.ranks[rank].carry_out(order)
+
+    async def _passes(self):
+        while True:
+            await self.clock.sleep_ms(PASS_MS)
+            if not self.group.begin_pass():
+                self.stopped_ms += PASS_MS
+
+    async def _notices(self):
+        while True:
+            await self.clock.sleep_ms(25)
+            for one in self.group.ranks:
+                self._sequence += 1
+                notice = self._notice(one.report())
+                if one.rank == 0:
+                    self.view.own(notice)
+                else:
+                    self.view.take(notice)
+
+    def _notice(self, report):
+        return RankNotice(
+            format=FORMAT,
+            address=f"127.0.0.1:{report.rank}",
+            started_ms=1,
+            sequence=self._sequence,
+            **{
+                name: getattr(report, name)
+                for name in report.__dataclass_fields__
+                if name not in ("group",)
+            },
+            group=report.group,
+        )
+
+
+def play(scenario):
+    """Run ``scenario`` in simulated time and return its result."""
+    handler = logbook.NullHandler()
+    loop = JumpingLoop()
+    with handler.applicationbound():
+        try:
+            return loop.run_until_complete(scenario())
+        finally:
+            loop.close()
+
+
+async def change_often(world, *, changes_count=6, disturb=None):
+    """Make changes, restarting or disturbing in between; return the world."""
+    for number in range(changes_count):
+        await world.clock.sleep_ms(300)
+        task = world.spawn(world.leader.change(world.new_map()))
+        if disturb is not None:
+            await disturb(world, task)
+        try:
+            await task
+        except (GroupChangedError, asyncio.CancelledError):
+            await world.clock.sleep_ms(500)
+        for _ in range(20):
+            await world.clock.sleep_ms(100)
+            if not world.leader.is_unfinished():
+                break
+            try:
+                await world.leader.finish()
+            except GroupChangedError:
+                continue
+    await world.clock.sleep_ms(15_000)
+    await world.close()
+    return world
+
+
+class ChangeTests(unittest.TestCase):
+    def world(self, seed, disturb=None, **ratios):
+        async def scenario():
+            return await change_often(World(seed=seed, **ratios), disturb=disturb)
+
+        return play(scenario)
+
+    def assert_even(self, world):
+        self.assertEqual(world.group.mixed_count, 0)
+        self.assertEqual(len({one.version for one in world.group.ranks}), 1)
+        self.assertFalse(any(one.held for one in world.group.ranks))
+
+    def test_a_calm_change_stops_no_pass(self):
+        world = self.world(1)
+        self.assert_even(world)
+        self.assertEqual(world.group.ranks[0].version, 6)
+        self.assertEqual(world.stopped_ms, 0)
+
+    def test_lost_late_and_doubled_orders(self):
+        for seed in range(25):
+            with self.subTest(seed=seed):
+                world = self.world(
+                    seed, lost_ratio=0.15, late_ratio=0.35, doubled_ratio=0.3
+                )
+                self.assert_even(world)
+                self.assertGreater(world.group.ranks[0].version, 0)
+
+    def test_a_leader_that_is_killed_at_any_moment(self):
+        async def kill(world, task):
+            await world.clock.sleep_ms(world.rng.uniform(0, 900))
+            task.cancel()
+            await world.clock.sleep_ms(world.rng.uniform(100, 2500))
+            world.start_leader()
+            await world.clock.sleep_ms(200)
+
+        for seed in range(25):
+            with self.subTest(seed=seed):
+                world = self.world(
+                    seed, disturb=kill, late_ratio=0.3, doubled_ratio=0.3
+                )
+                self.assert_even(world)
+
+    def test_a_group_that_is_formed_anew_at_any_moment(self):
+        async def lose(world, task):
+            await world.clock.sleep_ms(world.rng.uniform(0, 900))
+            world.group.is_open = False
+            await world.clock.sleep_ms(world.rng.uniform(600, 2500))
+            world.group.form_anew(world.rng.randrange(RANKS_COUNT))
+            world.group.is_open = True
+
+        for seed in range(25):
+            with self.subTest(seed=seed):
+                world = self.world(
+                    seed, disturb=lose, late_ratio=0.3, doubled_ratio=0.3
+                )
+                self.assert_even(world)
+
+    def test_arming_without_holding_mixes_maps(self):
+        """The naive way that the held pass is there for."""
+
+        async def scenario():
+            world = World(seed=3, late_ratio=0.4)
+            await world.clock.sleep_ms(200)
+            ranks = world.group.ranks
+            leader = world.leader
+            await leader._prepare(world.view.epoch, 1, world.new_map())
+            step = world.group.step + 4
+            for one in ranks:
+                order = _arm(world, one, step)
+                world._send(one.rank, order)
+            await world.clock.sleep_ms(3000)
+            await world.close()
+            return world
+
+        self.assertGreater(play(scenario).group.mixed_count, 0)
+
+
+def _arm(world, rank, step):
+    from waxwinghold._ranks.model import Order
+
+    return Order(
+        kind=OrderKind.ARM,
+        epoch=world.view.epoch,
+        orders_count=rank.orders_count,
+        token=1,
+        version=1,
+        step=step,
+    )
--- /dev/null
+++ b/tests/test_ranks_planner.py
@@ -0,0 +1,117 @@
+"""Plans of expert maps: legal, even, and with few moves."""
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from waxwinghold._ranks.demand import RecentDemand
+from waxwinghold._ranks.model import GroupShape
+from waxwinghold._ranks.planner import map_policy, step_length
+
+SHAPE = GroupShape(
+    sets_count=6,
+    experts_count=64,
+    places_count=11,
+    spare_count=4,
+    slots_count=6,
+    expert_share=0.85,
+    expert_copy_ms=50.0,
+)
+RANKS_COUNT = 8
+MOVE_PRICE = 0.02
+EVEN_GOAL = 1.4
+
+
+def first_map():
+    return [list(range(rank, 64, RANKS_COUNT)) for rank in range(RANKS_COUNT)]
+
+
+def skewed_demand(rng, *, power=1.5):
+    """Return demand in which a few experts draw most choices."""
+    demand = [1000 / (place + 1) ** power for place in range(64)]
+    rng.shuffle(demand)
+    return demand
+
+
+class PlanTests(unittest.TestCase):
+    def setUp(self):
+        self.policy = map_policy.make("few_moves")
+
+    def plan(self, demand, ranks, move_price=MOVE_PRICE):
+        return self.policy.plan_set(
+            demand=demand, ranks=ranks, shape=SHAPE, move_price=move_price
+        )
+
+    def assert_legal(self, plan, before):
+        self.assertEqual(set().union(*plan.ranks), set(range(64)))
+        for now, earlier in zip(plan.ranks, before):
+            self.assertLessEqual(len(now), SHAPE.places_count)
+            self.assertLessEqual(len(now - set(earlier)), SHAPE.spare_count)
+
+    @settings(max_examples=60, deadline=None)
+    @given(st.integers(min_value=0, max_value=10_000))
+    def test_plans_are_legal_and_never_worse(self, seed):
+        rng = random.Random(seed)
+        ranks = first_map()
+        for _ in range(3):
+            plan = self.plan(skewed_demand(rng), ranks)
+            self.assert_legal(plan, ranks)
+            self.assertLessEqual(plan.skew, plan.skew_before)
+            ranks = [sorted(experts) for experts in plan.ranks]
+
+    def test_drifting_demand_stays_near_even(self):
+        rng = random.Random(5)
+        ranks, skews, naive_skews = first_map(), [], []
+        naive = map_policy.make("static")
+        for _ in range(11):
+            demand = skewed_demand(rng)
+            for _ in range(2):
+                plan = self.plan(demand, ranks)
+                ranks = [sorted(experts) for experts in plan.ranks]
+            skews.append(plan.skew)
+            naive_skews.append(
+                naive.plan_set(
+                    demand=demand, ranks=first_map(), shape=SHAPE, move_price=0
+                ).skew
+            )
+        self.assertLess(sum(skews) / len(skews), EVEN_GOAL)
+        self.assertGreater(sum(naive_skews) / len(naive_skews), 2)
+
+    def test_dearer_moves_are_fewer(self):
+        rng = random.Random(6)
+        cheap = dear = 0
+        for _ in range(20):
+            demand = skewed_demand(rng)
+            cheap += self.plan(demand, first_map(), 0.005).moves_count
+            dear += self.plan(demand, first_map(), 0.1).moves_count
+        self.assertLess(dear, cheap)
+
+    def test_an_even_set_is_left_alone(self):
+        self.assertEqual(self.plan([1.0] * 64, first_map()).moves_count, 0)
+
+
+class StepTests(unittest.TestCase):
+    def test_even_ranks_have_a_step_of_one(self):
+        self.assertAlmostEqual(step_length([1.0, 1.0], expert_share=0.85), 1.0)
+        self.assertAlmostEqual(step_length([3.0, 3.0], expert_share=0.85), 2.7)
+
+
+class DemandTests(unittest.TestCase):
+    def test_only_the_last_moments_count(self):
+        demand = RecentDemand(window_ms=1000)
+        for number in range(10):
+            counts = [[number * 5000, 0], [0, number * 5000]]
+            if number > 6:
+                counts = [[6 * 5000, 5000 * number], [0, number * 5000]]
+            demand.take(rank=0, born_ms=1, counts=counts, now_ms=400.0 * number)
+        first, _ = demand.by_set()
+        self.assertEqual(first[0], 0)
+        self.assertGreater(first[1], 0)
+
+    def test_a_restarted_rank_begins_anew(self):
+        demand = RecentDemand()
+        demand.take(rank=0, born_ms=1, counts=[[9000, 0]], now_ms=0)
+        demand.take(rank=0, born_ms=2, counts=[[10, 0]], now_ms=400)
+        self.assertIsNone(demand.by_set())
