--- a/src/waxwinghold/_gateway/choice.py
+++ b/src/waxwinghold/_gateway/choice.py
@@ -18,7 +18,7 @@
     The naive policy: blind to the other gateways and to sick targets.
     """
 
-    def __init__(self, *, data_centre="", rng=None):
+    def __init__(self, *, data_centre="", pace=None, rng=None):
         self._rng = rng or random.Random()
 
     def choose(self, seats, *, tried, now_ms):
@@ -34,15 +34,18 @@
     """Takes the target with most free places, all gateways counted.
 
     Answers: several gateways that fill one target because each sees only its
-    own part, and a target that fails requests while its health check passes.
+    own part, a target that fails requests while its health check passes, and a
+    slow rank that slows the whole group that it steps with.
 
     Args:
         data_centre: The gateway's own; preferred among equals.
+        pace: Tells how much slower than usual a seat's group steps.
         rng: Breaks ties, so that gateways do not choose alike.
     """
 
-    def __init__(self, *, data_centre, rng=None):
+    def __init__(self, *, data_centre, pace=None, rng=None):
         self._data_centre = data_centre
+        self._pace = pace or (lambda seat: 1.0)
         self._rng = rng or random.Random()
 
     def choose(self, seats, *, tried, now_ms):
@@ -67,6 +70,7 @@
     def _cost(self, seat, now_ms):
         load = seat.held_count / seat.target.slots_count
         cost = (load + 0.1) * (1 + FAILURE_WEIGHT * seat.failure_ratio)
+        cost *= self._pace(seat)
         if seat.target.data_centre != self._data_centre:
             cost += AWAY_WEIGHT
         if seat.silent(now_ms):
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -84,7 +84,9 @@
                 service=service,
                 seats=self.seats,
                 choice=seat_policy.make(
-                    "least_held", data_centre=self.settings.data_centre
+                    "least_held",
+                    data_centre=self.settings.data_centre,
+                    pace=self.seats.group_pace,
                 ),
                 line=line_policy.make("on_time_first"),
             )
--- a/src/waxwinghold/_gateway/seats.py
+++ b/src/waxwinghold/_gateway/seats.py
@@ -144,6 +144,7 @@
         self._by_address = {}
         self.listeners = []
         self.grouped_services = frozenset()
+        self._paces = {}
 
     def __iter__(self):
         return iter(self._seats.values())
@@ -179,12 +180,22 @@
         """Return whether targets of ``service`` are ranks of groups."""
         return service in self.grouped_services
 
+    def group_pace(self, seat):
+        """Return the pace of the slowest rank that steps with ``seat``.
+
+        All ranks of a group begin each step together, so that one slow rank
+        slows them all.
+        """
+        return self._paces.get(seat.rank.group, 1.0) if seat.rank else 1.0
+
     def take_rank(self, notice):
         """Take in what the agent beside a target says of it."""
         seat = self._by_address.get(notice.address)
         if seat is None:
             return
         now_ms = self._clock.now_ms()
+        if notice.pace != (seat.rank.pace if seat.rank else 1.0):
+            self._learn_pace(notice)
         if seat.take_rank(notice, now_ms=now_ms):
             log.info(
                 "group stalls" if seat.stalled(now_ms) else "group makes steps",
@@ -197,6 +208,16 @@
             )
             self.changed()
 
+    def _learn_pace(self, notice):
+        paces = [
+            seat.rank.pace
+            for seat in self._seats.values()
+            if seat.rank is not None
+            and seat.rank.group == notice.group
+            and seat.rank.address != notice.address
+        ]
+        self._paces[notice.group] = max([notice.pace, *paces])
+
     def changed(self):
         """Tell the listeners that places may have come free."""
         for listener in self.listeners:
--- a/tests/test_gateway_seats.py
+++ b/tests/test_gateway_seats.py
@@ -26,14 +26,16 @@
     )
 
 
-def rank_notice(number, *, sequence=1, is_open=True, step=10, running=1):
+def rank_notice(
+    number, *, sequence=1, is_open=True, step=10, running=1, group="g", pace=1.0
+):
     return RankNotice(
         format=FORMAT,
         address=f"127.0.0.1:{1000 + number}",
         started_ms=1,
         sequence=sequence,
         born_ms=1,
-        group="g",
+        group=group,
         epoch=1,
         rank=number,
         size=2,
@@ -46,7 +48,7 @@
         orders_count=0,
         running_count=running,
         waiting_count=0,
-        pace=1.0,
+        pace=pace,
     )
 
 
@@ -102,6 +104,33 @@
         self.assertEqual({self.choose() for _ in range(20)}, {"w1"})
 
 
+class PaceTests(SeatCase):
+    def setUp(self):
+        super().setUp()
+        self.seats.replace([target(f"w{number}") for number in range(4)])
+        self.policy = seat_policy.make(
+            "least_held",
+            data_centre="dc-a",
+            pace=self.seats.group_pace,
+            rng=random.Random(1),
+        )
+        for number in range(4):
+            group = "slow" if number < 2 else "usual"
+            pace = 5.0 if number == 0 else 1.0
+            self.seats.take_rank(rank_notice(number, group=group, pace=pace))
+
+    def test_one_slow_rank_makes_its_whole_group_the_second_choice(self):
+        self.assertLessEqual({self.choose() for _ in range(40)}, {"w2", "w3"})
+        for name in ("w2", "w3"):
+            self.seats.get(name).others_count = SLOTS_COUNT - 1
+        self.assertLessEqual({self.choose() for _ in range(40)}, {"w0", "w1"})
+
+    def test_a_rank_at_its_usual_pace_again_frees_its_group(self):
+        notice = rank_notice(0, sequence=2, group="slow", pace=1.0)
+        self.seats.take_rank(notice)
+        self.assertEqual(len({self.choose() for _ in range(80)}), 4)
+
+
 class BeliefTests(SeatCase):
     def test_a_rejection_with_free_places_pauses_longer_than_a_full_target(self):
         idle, full = self.seats.get("w0"), self.seats.get("w1")
