Let a deputy finish a change whose leader is silent

Cause: an agent that dies with a pass held back stops its group until it is back. Now the leader's notices go to all ranks, and an agent that hears none for 0.7 s while its own rank waits for a map reads every rank itself and finishes the same switch: forward only, and only the held pass of that switch is let go.

--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -30,6 +30,12 @@
 GREETING_INTERVAL_MS = 1000.0
 TARGETS_INTERVAL_MS = 5000.0  # Ranks that moved are found within seconds.
 GATEWAY_SILENCE_MS = 6000.0
+# An agent that is silent for two reports while a pass is held back is frozen or
+# cut off; its rank is then read and ordered from here.
+AGENT_SILENCE_MS = 350.0
+REACH_INTERVAL_MS = 100.0
+DEPUTY_SILENCE_MS = 700.0  # Four reports; the others take over one by one.
+DEPUTY_STEP_MS = 300.0
 CALL_RETRY_MS = 300.0
 
 
@@ -39,14 +45,17 @@
     Args:
         settings: The ``RankSettings``.
         port: The ``RankPort`` of the rank on this machine.
+        make_port: Returns a ``RankPort`` of the rank at an ``IP:PORT``.
         directory: Has ``read``: returns the addresses of all ranks of the
             service and the ``GroupShape``, or ``None`` for either.
     """
 
-    def __init__(self, *, clock, settings, port, directory):
+    def __init__(self, *, clock, settings, port, make_port, directory):
         self._clock = clock
         self._settings = settings
         self._port = port
+        self._make_port = make_port
+        self._far_ports = {}
         self._directory = directory
         self._transport = None
         self._started_ms = clock.wall_ms()
@@ -82,11 +91,10 @@
             self._keep_reporting(),
             self._keep_counting(),
             self._give_orders(),
-            self._balancing.run(is_leader=self._is_leader),
+            self._keep_reaching(),
+            self._balancing.run(is_leader=self._is_leader, is_deputy=self._is_deputy),
         ):
-            task = loop.create_task(coroutine)
-            self._tasks.add(task)
-            task.add_done_callback(self._task_ended)
+            self._spawn(coroutine)
         log.info("agent is up", extra={"target": self._settings.target_address})
         await self._stop.wait()
         log.info("agent has ended")
@@ -118,6 +126,70 @@
         report = self._report
         return report is not None and report.rank == 0 and bool(report.group)
 
+    def _is_deputy(self):
+        """Return whether this agent is to finish what a silent leader began.
+
+        Finishing only goes forward and lets the held pass go when all ranks
+        are armed, so that a second deputy, or the leader itself, does no harm.
+        """
+        report = self._report
+        if report is None or not report.group or report.rank == 0:
+            return False
+        # Its own rank took part in a change that is not in use yet.
+        if report.armed is None and report.prepared in (None, report.map_version):
+            return False
+        limit_ms = DEPUTY_SILENCE_MS + DEPUTY_STEP_MS * (report.rank - 1)
+        return self.view.agent_silent(0, limit_ms=limit_ms)
+
+    async def _keep_reaching(self):
+        """Read ranks that tell nothing while a change may be under way.
+
+        The leader reads those whose agents are silent. A deputy hears only of
+        rank 0 and reads every rank, so that it decides on nothing old.
+        """
+        while True:
+            await self._clock.sleep_ms(REACH_INTERVAL_MS)
+            deputy = self._is_deputy()
+            if not (self.leader.is_unfinished() if self._is_leader() else deputy):
+                continue
+            for rank, known in list(self.view.notices().items()):
+                own = rank == self._report.rank
+                if not own and (deputy or self._is_far(rank)):
+                    await self._read_far(rank, known)
+
+    def _is_far(self, rank):
+        """Return whether a rank has to be reached from here."""
+        if self._report is None or rank == self._report.rank:
+            return False
+        if not self._is_leader():
+            return True
+        return self.view.agent_silent(rank, limit_ms=AGENT_SILENCE_MS)
+
+    def _far_port(self, rank):
+        address = self.view.address(rank)
+        if address not in self._far_ports:
+            self._far_ports[address] = self._make_port(address)
+        return self._far_ports[address]
+
+    async def _read_far(self, rank, known):
+        try:
+            report = await self._far_port(rank).report()
+        except SendError as error:
+            log.info("rank not read", extra={"rank": rank, "reason": str(error)})
+            return
+        if report is not None and report.group:
+            notice = _rank_notice(report, known.address, known.started_ms)
+            read = msgspec.structs.replace(notice, sequence=known.sequence)
+            self.view.take_read(rank, read)
+
+    async def _give_far(self, rank, order):
+        """Give an order to a rank whose own agent is silent."""
+        log.info("order from afar", extra={"rank": rank, "kind": order.kind.value})
+        try:
+            await self._far_port(rank).give(order)
+        except SendError as error:
+            log.info("order unanswered", extra={"rank": rank, "reason": str(error)})
+
     async def _keep_directory(self):
         """Learn where the other ranks are, and the shape of their groups."""
         while True:
@@ -156,7 +228,10 @@
     def _tell(self, report):
         """Send the report to those whom it concerns."""
         self._sequence += 1
-        notice = _rank_notice(self, report)
+        notice = msgspec.structs.replace(
+            _rank_notice(report, self._settings.target_address, self._started_ms),
+            sequence=self._sequence,
+        )
         self.view.own(notice)
         data = encoder.encode(notice)
         now_ms = self._clock.now_ms()
@@ -168,6 +243,9 @@
             receivers = self._rank_ips | self._gateways(now_ms)
         elif now_ms - self._last_sent_ms >= REPORT_INTERVAL_MS / 2:
             receivers = self._leader_ips() | self._gateways(now_ms)
+            if self._is_leader():
+                # The other agents watch that their leader is alive.
+                receivers |= self._group_ips()
         elif news or report.step:
             receivers = self._leader_ips()
         else:
@@ -191,6 +269,11 @@
             return set()
         return {first.address.rpartition(":")[0]}
 
+    def _group_ips(self):
+        ips = {one.address.rpartition(":")[0] for one in self.view.notices().values()}
+        ips.discard(self._settings.peers_ip)
+        return ips
+
     async def _keep_counting(self):
         """Send the counts of chosen experts to the agent that leads."""
         while True:
@@ -230,6 +313,9 @@
 
     def _send_order(self, rank, order):
         """Send an order of this leader to the agent of ``rank``."""
+        if self._is_far(rank):
+            self._spawn(self._give_far(rank, order))
+            return
         notice = OrderNotice(
             format=FORMAT,
             group=self.view.name,
@@ -284,6 +370,11 @@
         if report is not None and report.group:
             self._tell(report)
 
+    def _spawn(self, coroutine):
+        task = asyncio.get_running_loop().create_task(coroutine)
+        self._tasks.add(task)
+        task.add_done_callback(self._task_ended)
+
     def _task_ended(self, task):
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
@@ -291,12 +382,13 @@
             self._stop.set()
 
 
-def _rank_notice(agent, report):
+def _rank_notice(report, address, started_ms):
+    """Return a report as a notice, still without a number of its own."""
     return RankNotice(
         format=FORMAT,
-        address=agent._settings.target_address,
-        started_ms=agent._started_ms,
-        sequence=agent._sequence,
+        address=address,
+        started_ms=started_ms,
+        sequence=0,
         born_ms=report.born_ms,
         group=report.group,
         epoch=report.epoch,
--- a/src/waxwinghold/_ranks/balancing.py
+++ b/src/waxwinghold/_ranks/balancing.py
@@ -57,14 +57,22 @@
         )
         self._held[notice.rank] = (notice.map_version, notice.held)
 
-    async def run(self, *, is_leader):
-        """Look at the demand again and again until cancelled."""
+    async def run(self, *, is_leader, is_deputy):
+        """Look at the demand again and again until cancelled.
+
+        Args:
+            is_leader: Tells whether this agent leads the group.
+            is_deputy: Tells whether it finishes what a silent leader began.
+        """
         while True:
             await self._clock.sleep_ms(LOOK_INTERVAL_MS)
-            if not is_leader() or self.shape is None or not self._view.is_complete():
+            if not self._view.is_complete():
                 continue
             try:
-                await self._look()
+                if is_leader() and self.shape is not None:
+                    await self._look()
+                elif is_deputy() and self._leader.is_unfinished():
+                    await self._leader.finish()
             except GroupChangedError as error:
                 log.info("change abandoned", extra={"reason": str(error)})
 
--- a/src/waxwinghold/_ranks/leader.py
+++ b/src/waxwinghold/_ranks/leader.py
@@ -1,15 +1,16 @@
 """Steps a group from one expert map to the next; one agent leads each group.
 
-The agent beside rank 0 leads, so that there is never a second leader: a
-machine runs one agent, and a restarted one finds in the ranks' reports all that
-it has to finish. A group whose rank 0 has no agent keeps its map.
+The agent beside rank 0 leads, so that no two plan at once: a machine runs one
+agent, and a restarted one finds in the ranks' reports all that it has to finish.
+A group whose rank 0 has no agent keeps its map.
 
 The change only goes forward. All ranks prepare the map; rank 0 is told to hold
 back the pass of the switch; all ranks are armed for that pass; only when all
-say that they are, the pass is let go. Orders may be carried out late or twice:
-each names the epoch of the group and the number of orders that its rank had
-accepted, so that it is void once the group was formed anew or any other order
-came between.
+say that they are, the pass is let go. Whoever finishes what a silent leader
+began goes the same way, so that two at once do no harm. Orders may be carried
+out late or twice: each names the epoch of the group and the number of orders
+that its rank had accepted, so that it is void once the group was formed anew or
+any other order came between.
 """
 
 import logbook
@@ -22,7 +23,6 @@
 RESEND_INTERVAL_MS = 250.0  # Several round trips; an unanswered order is lost.
 PREPARE_LIMIT_MS = 6000.0  # Copies take about a second; orders may be lost.
 HOLD_AHEAD_COUNT = 8  # Passes until the switch; arming takes one or two.
-HELD_LIMIT_MS = 15_000.0  # Only logged: letting go early could mix maps.
 
 
 class GroupChangedError(Exception):
@@ -50,11 +50,9 @@
         self._token += 1_000_000
 
     def is_unfinished(self):
-        """Return whether the ranks show a change that nobody finished."""
-        notices = self._group.notices()
-        return any(
-            one.armed is not None or one.held is not None for one in notices.values()
-        )
+        """Return whether a pass is held back for a change that nobody finished."""
+        first = self._group.notices().get(0)
+        return first is not None and first.held is not None
 
     async def change(self, ranks_by_set):
         """Put a map into use; return whether all ranks use it.
@@ -73,7 +71,8 @@
         self._version = max(known) + 1
         if not await self._prepare(epoch, self._version, ranks_by_set):
             return False
-        await self._switch(epoch, self._version)
+        step = await self._hold(epoch)
+        await self._switch(epoch, self._version, step)
         return True
 
     async def finish(self):
@@ -84,15 +83,17 @@
         """
         epoch = self._group.epoch
         notices = self._require(epoch)
-        versions = {one.prepared for one in notices.values() if one.armed is None}
-        versions |= {one.armed for one in notices.values() if one.armed is not None}
-        done = {one.map_version for one in notices.values()}
-        log.info("finishing a change", extra={"versions": sorted(map(str, versions))})
-        if len(versions) == 1 and None not in versions and done != versions:
-            await self._switch(epoch, versions.pop())
+        held = notices[0].held
+        versions = {
+            one.prepared if one.armed is None else one.armed for one in notices.values()
+        }
+        if held is None or len(versions) != 1 or None in versions:
+            # Reports of different moments: the next ones will tell.
+            log.info("change not clear", extra={"versions": sorted(map(str, versions))})
             return
-        await self._disarm(epoch)
-        await self._release(epoch)
+        version = versions.pop()
+        log.info("finishing a change", extra={"version": version, "step": held})
+        await self._switch(epoch, version, held)
 
     async def _prepare(self, epoch, version, ranks_by_set):
         end_ms = self._clock.now_ms() + PREPARE_LIMIT_MS
@@ -113,8 +114,8 @@
         notices = self._require(epoch)
         return all(one.prepared == version for one in notices.values())
 
-    async def _switch(self, epoch, version):
-        step = await self._hold(epoch)
+    async def _switch(self, epoch, version, step):
+        """Arm all ranks for the held pass ``step`` and let it begin."""
         started_ms = self._clock.now_ms()
         await self._order_all(
             epoch,
@@ -129,7 +130,7 @@
             ),
         )
         armed_ms = self._clock.now_ms() - started_ms
-        await self._release(epoch)
+        await self._release(epoch, step)
         log.info(
             "map switched",
             extra={
@@ -164,34 +165,21 @@
                 )
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
 
-    async def _release(self, epoch):
-        """Let the held pass begin."""
+    async def _release(self, epoch, step):
+        """Let the held pass ``step`` begin, and no other."""
         await self._order_all(
             epoch,
-            done=lambda one: one.held is None,
+            done=lambda one: one.held != step,
             make=lambda one: Order(
                 kind=OrderKind.GO,
                 epoch=epoch,
                 orders_count=one.orders_count,
                 token=self._token,
-                step=one.held,
+                step=step,
             ),
             resend_ms=RESEND_INTERVAL_MS / 2,
         )
 
-    async def _disarm(self, epoch):
-        await self._order_all(
-            epoch,
-            done=lambda one: one.armed is None,
-            make=lambda one: Order(
-                kind=OrderKind.DISARM,
-                epoch=epoch,
-                orders_count=one.orders_count,
-                token=self._token,
-                version=one.armed,
-            ),
-        )
-
     async def _order_all(
         self, epoch, *, done, make, end_ms=float("inf"), resend_ms=RESEND_INTERVAL_MS
     ):
--- a/src/waxwinghold/_ranks/model.py
+++ b/src/waxwinghold/_ranks/model.py
@@ -9,7 +9,6 @@
 
     PREPARE = "prepare"
     ARM = "arm"
-    DISARM = "disarm"
     HOLD = "hold"
     GO = "go"
 
@@ -80,7 +79,7 @@
 
     Args:
         step: The pass, for ``ARM``, ``HOLD`` and ``GO``.
-        version: The map's version, for ``PREPARE``, ``ARM`` and ``DISARM``.
+        version: The map's version, for ``PREPARE`` and ``ARM``.
         ranks_by_set: For ``PREPARE``: per set and rank the experts held.
         epoch: The order is void in another epoch of the group.
         orders_count: The order is void once the rank accepted another.
--- a/src/waxwinghold/_ranks/view.py
+++ b/src/waxwinghold/_ranks/view.py
@@ -15,6 +15,7 @@
         self._clock = clock
         self._notices = {}
         self._heard_ms = {}
+        self._told_ms = {}
         self.name = None
         self.epoch = None
         self.size = 0
@@ -41,7 +42,21 @@
             if (notice.started_ms, notice.sequence) <= order:
                 return
         self._notices[notice.rank] = notice
-        self._heard_ms[notice.rank] = self._clock.now_ms()
+        self._heard_ms[notice.rank] = self._told_ms[notice.rank] = self._clock.now_ms()
+
+    def take_read(self, rank, notice):
+        """Take in what was read from a rank whose own agent is silent.
+
+        The agent's next notice replaces it, whatever its number.
+        """
+        if (notice.group, notice.epoch) == (self.name, self.epoch):
+            self._notices[rank] = notice
+            self._heard_ms[rank] = self._clock.now_ms()
+
+    def agent_silent(self, rank, *, limit_ms):
+        """Return whether the agent beside ``rank`` sent nothing for ``limit_ms``."""
+        told_ms = self._told_ms.get(rank, float("-inf"))
+        return self._clock.now_ms() - told_ms > limit_ms
 
     def notices(self):
         """Return the latest notice by rank."""
--- a/src/waxwinghold/platform/__main__.py
+++ b/src/waxwinghold/platform/__main__.py
@@ -55,16 +55,28 @@
     from .worker import WorkerPort
 
     settings = load_settings(path, RankSettings)
-    port = WorkerPort(address=split_ip_port(settings.target_address))
+    on_low_token = []
+
+    def make_port(address):
+        return WorkerPort(
+            address=split_ip_port(address),
+            on_low_token=lambda: [raise_token() for raise_token in on_low_token],
+        )
+
+    port = make_port(settings.target_address)
     directory = Directory(
         address=split_ip_port(settings.store_address), service=settings.service
     )
 
     async def main():
         agent = RankAgent(
-            clock=boot_clock(), settings=settings, port=port, directory=directory
+            clock=boot_clock(),
+            settings=settings,
+            port=port,
+            make_port=make_port,
+            directory=directory,
         )
-        port.on_low_token = agent.leader.raise_token
+        on_low_token.append(agent.leader.raise_token)
         await agent.run()
 
     with log_handler(settings.log_level, process=settings.name).applicationbound():
--- a/src/waxwinghold_standins/fleet_ranks.py
+++ b/src/waxwinghold_standins/fleet_ranks.py
@@ -4,7 +4,7 @@
 epochs, held passes; and it can leave orders unanswered and carry them out late.
 """
 
-from waxwinghold._ranks.model import OrderKind, RankReport
+from waxwinghold._ranks.model import RankReport
 
 
 class FleetRank:
@@ -87,12 +87,6 @@
         self.armed, self.armed_step = order.version, order.step
         return True
 
-    def _disarm(self, order):
-        if order.version != self.armed:
-            return False
-        self.armed = self.armed_step = None
-        return True
-
     def _hold(self, order):
         if self.held is not None or order.step <= self.group.step:
             return False
@@ -152,6 +146,3 @@
         lost = self.ranks[lost_rank]
         lost.orders_count = lost.highest_version = lost.fence = 0
         lost.born_ms += 1
-
-
-ORDER_KINDS = tuple(OrderKind)
--- a/tests/test_ranks_leader.py
+++ b/tests/test_ranks_leader.py
@@ -66,6 +66,7 @@
         self._tasks = set()
         self._token = 0
         self.stopped_ms = 0.0
+        self.frozen = False
         self.view = None
         self.leader = None
         self.start_leader()
@@ -100,6 +101,10 @@
         ]
 
     def _send(self, rank, order):
+        if not self.frozen:
+            self.deliver_soon(rank, order)
+
+    def deliver_soon(self, rank, order):
         self.spawn(self._deliver(rank, order))
 
     async def _deliver(self, rank, order):
@@ -124,20 +129,22 @@
     async def _notices(self):
         while True:
             await self.clock.sleep_ms(25)
+            if self.frozen:
+                continue
             for one in self.group.ranks:
                 self._sequence += 1
-                notice = self._notice(one.report())
+                notice = self.notice(one.report(), self._sequence)
                 if one.rank == 0:
                     self.view.own(notice)
                 else:
                     self.view.take(notice)
 
-    def _notice(self, report):
+    def notice(self, report, sequence):
         return RankNotice(
             format=FORMAT,
             address=f"127.0.0.1:{report.rank}",
             started_ms=1,
-            sequence=self._sequence,
+            sequence=sequence,
             **{
                 name: getattr(report, name)
                 for name in report.__dataclass_fields__
@@ -147,6 +154,40 @@
         )
 
 
+class Deputy:
+    """An agent that finishes changes, on reports that it reads rank by rank."""
+
+    def __init__(self, *, world):
+        self._world = world
+        self._clock = world.clock
+        self._view = GroupView(clock=world.clock)
+        self._leader = Leader(
+            clock=world.clock, group=self._view, send=world.deliver_soon, token=1
+        )
+
+    async def run(self):
+        self._world.spawn(self._read())
+        while True:
+            await self._clock.sleep_ms(100)
+            try:
+                if self._view.is_complete() and self._leader.is_unfinished():
+                    await self._leader.finish()
+            except GroupChangedError:
+                continue
+
+    async def _read(self):
+        sequence = 0
+        while True:
+            for one in self._world.group.ranks:
+                await self._clock.sleep_ms(self._world.rng.uniform(1, 40))
+                sequence += 1
+                notice = self._world.notice(one.report(), sequence)
+                if one.rank == 0:
+                    self._view.own(notice)
+                else:
+                    self._view.take(notice)
+
+
 def play(scenario):
     """Run ``scenario`` in simulated time and return its result."""
     handler = logbook.NullHandler()
@@ -239,6 +280,45 @@
                 )
                 self.assert_even(world)
 
+    def test_deputies_that_take_over_from_a_frozen_or_a_live_leader(self):
+        async def freeze(world, task):
+            deputies = [Deputy(world=world) for _ in range(2)]
+            runs = [world.spawn(one.run()) for one in deputies]
+            await world.clock.sleep_ms(world.rng.uniform(0, 900))
+            if world.rng.random() < 0.7:
+                world.frozen = True
+                await world.clock.sleep_ms(world.rng.uniform(500, 4500))
+                world.frozen = False
+            await asyncio.wait([task], timeout=20)
+            for run in runs:
+                run.cancel()
+
+        for seed in range(40):
+            with self.subTest(seed=seed):
+                world = self.world(
+                    seed, disturb=freeze, late_ratio=0.2, doubled_ratio=0.3
+                )
+                self.assert_even(world)
+
+    def test_a_frozen_leader_does_not_stop_its_group_for_long(self):
+        async def scenario():
+            world = World(seed=2)
+            await world.clock.sleep_ms(300)
+            task = world.spawn(world.leader.change(world.new_map()))
+            world.spawn(Deputy(world=world).run())
+            while world.group.ranks[0].held is None:
+                await world.clock.sleep_ms(5)
+            world.frozen = True
+            await world.clock.sleep_ms(4000)
+            stopped_ms = world.stopped_ms
+            await world.close()
+            task.cancel()
+            return world, stopped_ms
+
+        world, stopped_ms = play(scenario)
+        self.assertLess(stopped_ms, 1500)
+        self.assertEqual(world.group.mixed_count, 0)
+
     def test_arming_without_holding_mixes_maps(self):
         """The naive way that the held pass is there for."""
 
