--- a/src/waxwinghold/_gateway/client.py
+++ b/src/waxwinghold/_gateway/client.py
@@ -19,27 +19,32 @@
     def __init__(self, *, address):
         self._address = address
         self._connection = None
+        self._lock = asyncio.Lock()
 
     async def call(self, method, target, *, limit_ms, body=None):
         """Return the ``(status, body)`` of the answer.
 
+        Callers wait for each other.
+
         Args:
             target: Path and query.
-            limit_ms: Longest time that the call may take.
+            limit_ms: Longest time that the call itself may take.
             body: JSON to send, as bytes; ``None`` for no body.
 
         Raises:
             SendError: There was no whole answer in time.
         """
-        try:
-            async with asyncio.timeout(limit_ms / MS_PER_SECOND):
-                return await self._exchange(method, target, body)
-        except TimeoutError as error:
-            self.close()
-            raise SilentTargetError(f"no answer within {limit_ms:.0f} ms") from error
-        except BaseException:
-            self.close()
-            raise
+        async with self._lock:
+            try:
+                async with asyncio.timeout(limit_ms / MS_PER_SECOND):
+                    return await self._exchange(method, target, body)
+            except TimeoutError as error:
+                self.close()
+                reason = f"no answer within {limit_ms:.0f} ms"
+                raise SilentTargetError(reason) from error
+            except BaseException:
+                self.close()
+                raise
 
     def close(self):
         """Reset the connection, if there is one."""
--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -68,6 +68,7 @@
         self._last_state = None
         self._last_sent_ms = float("-inf")
         self._orders = asyncio.Queue()
+        self._queued_orders = set()
         self._stop = asyncio.Event()
         self._tasks = set()
         self.view = GroupView(clock=clock)
@@ -120,7 +121,14 @@
         elif isinstance(notice, CountsNotice):
             self._balancing.take_counts(notice)
         elif isinstance(notice, OrderNotice):
-            self._orders.put_nowait(notice)
+            self._take_order(notice)
+
+    def _take_order(self, notice):
+        """Queue an order unless the same one waits already."""
+        key = (notice.kind, notice.epoch, notice.orders_count, notice.step)
+        if key not in self._queued_orders:
+            self._queued_orders.add(key)
+            self._orders.put_nowait((key, notice))
 
     def _is_leader(self):
         report = self._report
@@ -328,7 +336,7 @@
             ranks_by_set=order.ranks_by_set,
         )
         if rank == self._report.rank:
-            self._orders.put_nowait(notice)
+            self._take_order(notice)
             return
         ip = self.view.address(rank).rpartition(":")[0]
         data = encoder.encode(notice)
@@ -337,7 +345,8 @@
     async def _give_orders(self):
         """Pass orders on to the rank on this machine, one after another."""
         while True:
-            notice = await self._orders.get()
+            key, notice = await self._orders.get()
+            self._queued_orders.discard(key)
             if (notice.group, notice.epoch) != (self.view.name, self.view.epoch):
                 continue
             order = Order(
--- a/src/waxwinghold/_ranks/leader.py
+++ b/src/waxwinghold/_ranks/leader.py
@@ -20,7 +20,7 @@
 log = logbook.Logger("leader")
 
 POLL_INTERVAL_MS = 20.0
-RESEND_INTERVAL_MS = 250.0  # Several round trips; an unanswered order is lost.
+RESEND_INTERVAL_MS = 110.0  # Beyond the time that an order's answer is waited for.
 PREPARE_LIMIT_MS = 6000.0  # Copies take about a second; orders may be lost.
 HOLD_AHEAD_COUNT = 8  # Passes until the switch; arming takes one or two.
 
@@ -109,7 +109,7 @@
                 ranks_by_set=ranks_by_set,
             ),
             end_ms=end_ms,
-            resend_ms=4 * RESEND_INTERVAL_MS,
+            resend_ms=3 * RESEND_INTERVAL_MS,
         )
         notices = self._require(epoch)
         return all(one.prepared == version for one in notices.values())
@@ -177,7 +177,6 @@
                 token=self._token,
                 step=step,
             ),
-            resend_ms=RESEND_INTERVAL_MS / 2,
         )
 
     async def _order_all(
--- a/src/waxwinghold/platform/worker.py
+++ b/src/waxwinghold/platform/worker.py
@@ -10,7 +10,10 @@
 
 log = logbook.Logger("worker")
 
-CALL_LIMIT_MS = 400.0  # On the same machine an answer takes about a millisecond.
+CALL_LIMIT_MS = 250.0  # Between data centres an answer takes a few milliseconds.
+# On the same machine it takes about one; an order without an answer by then may
+# be carried out seconds later, and another one has to be sent.
+ORDER_LIMIT_MS = 80.0
 ACCEPTED_STATUSES = (200, 202)
 MISDIRECTED = 421
 TOKEN_TOO_LOW = 412
@@ -118,7 +121,7 @@
         if order.kind is OrderKind.PREPARE:
             body["map"] = order.ranks_by_set
         status, answer = await self._orders_client.call(
-            "POST", "/v1/order", limit_ms=CALL_LIMIT_MS, body=msgspec.json.encode(body)
+            "POST", "/v1/order", limit_ms=ORDER_LIMIT_MS, body=msgspec.json.encode(body)
         )
         if status == TOKEN_TOO_LOW:
             self.on_low_token()
