Take changed settings into a running gateway

Cause: settings may change under running processes, with or without SIGHUP; the gateway only logged it. The file is read again on the signal and when its stamp changes; a broken file leaves the last good settings; what sockets were made with needs a restart and is logged.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 
 from .._metrics import Metrics
+from .._reload import CHECK_INTERVAL_MS
 from .._settings import split_ip_port
 from .attempts import Admitted, Attempts
 from .budget import budget_policy
@@ -37,14 +38,17 @@
 
     Args:
         settings: The ``GatewaySettings``.
+        settings_file: The ``SettingsFile`` that they came from; ``None`` for
+            settings that never change.
         speech: The ``Speech`` of callers and targets.
         make_source: Returns the object whose ``run`` keeps ``Published`` up to
             date, given that ``Published``.
     """
 
-    def __init__(self, *, clock, settings, speech, make_source):
+    def __init__(self, *, clock, settings, speech, make_source, settings_file=None):
         self.clock = clock
         self.settings = settings
+        self._settings_file = settings_file
         self.speech = speech
         self.metrics = Metrics(process=settings.name)
         self.seats = Seats(clock=clock)
@@ -157,6 +161,7 @@
         self._spawn(self._source.run())
         self._spawn(self.peers.run())
         self._spawn(self._tick())
+        self._spawn(self._watch_settings())
         await self._serve_readiness()
         await self._front.start(split_ip_port(self.settings.callers_address))
         self._spawn(self._front.sweep())
@@ -261,7 +266,18 @@
         self._stop.set()
 
     def _reload(self):
-        log.info("settings reloaded: nothing in them may change at run time")
+        """Take changed settings; budgets are made anew from them."""
+        if self._settings_file is None:
+            return
+        self.settings = self._settings_file.reload()
+        self.peers.settings = self.settings
+        self._budgets = {}
+
+    async def _watch_settings(self):
+        while True:
+            await self.clock.sleep_ms(CHECK_INTERVAL_MS)
+            if self._settings_file is not None and self._settings_file.changed():
+                self._reload()
 
     async def _finish(self):
         """Go on taking requests until the platform sends none, then finish them."""
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -45,12 +45,10 @@
 
     def __init__(self, *, clock, settings, seats, waiting):
         self._clock = clock
-        self._settings = settings
+        self.settings = settings
         self._seats = seats
         self._waiting = waiting
         self._peers = {}
-        self._seeds = {seed.rpartition(":")[0] for seed in settings.seeds}
-        self._seeds.discard(settings.peers_ip)
         self._sequence = 0
         self._started_ms = clock.wall_ms()
         self._transport = None
@@ -59,6 +57,11 @@
         self._quiet_rounds_count = 0
         self.malformed_count = 0
 
+    @property
+    def _seeds(self):
+        ips = {seed.rpartition(":")[0] for seed in self.settings.seeds}
+        return ips - {self.settings.peers_ip}
+
     @property
     def gateways_count(self):
         """Return how many gateways there are, this one included."""
@@ -75,7 +78,7 @@
     async def run(self):
         """Exchange notices until cancelled."""
         loop = asyncio.get_running_loop()
-        address = (self._settings.peers_ip, self._settings.peers_port)
+        address = (self.settings.peers_ip, self.settings.peers_port)
         await loop.create_datagram_endpoint(lambda: self, local_addr=address)
         while True:
             self._forget_silent()
@@ -117,7 +120,7 @@
         peer.notice = notice
         peer.heard_ms = self._clock.now_ms()
         for other in notice.members:
-            if other != self._settings.peers_ip and other not in self._peers:
+            if other != self.settings.peers_ip and other not in self._peers:
                 self._peers[other] = Peer()
                 self._peers[other].heard_ms = peer.heard_ms
         if known is None or known.counts != notice.counts:
@@ -147,7 +150,7 @@
         heard = [ip for ip, peer in self._peers.items() if peer.notice is not None]
         notice = GatewayNotice(
             format=FORMAT,
-            name=self._settings.name,
+            name=self.settings.name,
             started_ms=self._started_ms,
             sequence=self._sequence,
             members=heard,
@@ -166,7 +169,7 @@
         else:
             receivers |= self._agents(unheard_only=True)
         for ip in receivers:
-            self._transport.sendto(data, (ip, self._settings.peers_port))
+            self._transport.sendto(data, (ip, self.settings.peers_port))
 
     def _agents(self, *, unheard_only):
         """Return where agents may be; with ``unheard_only`` those not heard yet."""
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -2,6 +2,19 @@
 
 from dataclasses import dataclass
 
+# What sockets and tasks were made with at the start.
+FIXED_SETTINGS = (
+    "name",
+    "data_centre",
+    "callers_address",
+    "readiness_address",
+    "store_address",
+    "peers_ip",
+    "peers_port",
+    "log_level",
+    "metrics_port",
+)
+
 
 @dataclass(frozen=True, kw_only=True)
 class GatewaySettings:
--- a/src/waxwinghold/platform/__main__.py
+++ b/src/waxwinghold/platform/__main__.py
@@ -21,11 +21,13 @@
 def run_gateway(path):
     """Run the role that serves callers."""
     from .._gateway.gateway import Gateway
-    from .._gateway.settings import GatewaySettings
+    from .._gateway.settings import FIXED_SETTINGS, GatewaySettings
+    from .._reload import SettingsFile
     from .speech import PlatformSpeech
     from .store import StoreWatcher
 
-    settings = load_settings(path, GatewaySettings)
+    file = SettingsFile(path=path, kind=GatewaySettings, fixed=FIXED_SETTINGS)
+    settings = file.settings
     clock = boot_clock()
 
     def make_source(published):
@@ -41,6 +43,7 @@
             settings=settings,
             speech=PlatformSpeech(),
             make_source=make_source,
+            settings_file=file,
         ).run()
 
     with log_handler(settings.log_level, process=settings.name).applicationbound():
