--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -14,6 +14,16 @@
 
 Z85_KEY_LENGTH = 40
 SECRET_LENGTH_MIN = 32
+IP_PORT_SETTINGS = frozenset(
+    {
+        "http_address",
+        "metrics_address",
+        "callers_address",
+        "readiness_address",
+        "store_address",
+        "target_address",
+    }
+)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -214,7 +224,7 @@
         return None if is_link_address(value) else "tcp://IP:PORT with an IP number"
     if name == "metrics_address" and not value:
         return None
-    if name in ("http_address", "metrics_address"):
+    if name in IP_PORT_SETTINGS:
         return None if _is_ip_port(value) else "IP:PORT with an IP number"
     if name in ("platform_url", "target_url"):
         return None if is_ip_url(value) else "http://IP:PORT with an IP number"
@@ -223,8 +233,15 @@
     if name == "token_secrets":
         good = value and all(len(secret) >= SECRET_LENGTH_MIN for secret in value)
         return None if good else f"secrets of {SECRET_LENGTH_MIN} characters or more"
+    if name == "seeds":
+        good = all(_is_ip_port(seed) for seed in value)
+        return None if good else "a list of IP:PORT with IP numbers"
     if name == "role":
         return None if value in ("entry", "agent", "operator") else "a known role"
+    if name == "metrics_port" and not value:
+        return None
+    if name.endswith("_port"):
+        return None if 0 < value < 65536 else "a port number"
     if name in ("name", "data_centre"):
         good = re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", value)
         return None if good else "a name of letters, digits, '.', '_' and '-'"
--- a/src/waxwinghold/_tool/configuration.py
+++ b/src/waxwinghold/_tool/configuration.py
@@ -6,6 +6,8 @@
 import re
 import typing
 
+from .._gateway.settings import GatewaySettings
+from .._ranks.settings import RankSettings
 from .._settings import AgentSettings, EntrySettings
 from .._sheet.model import Sheet
 from .settings import OperatorSettings
@@ -28,6 +30,8 @@
 SECTIONS = (
     ("Settings of `waxwingd entry`", EntrySettings),
     ("Settings of `waxwingd agent`", AgentSettings),
+    ("Settings of the gateway on the users' platform", GatewaySettings),
+    ("Settings of the agent beside a rank there", RankSettings),
     ("Settings of `waxwing`", OperatorSettings),
     ("The sheet", Sheet),
 )
