--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -98,8 +98,16 @@
             self._spawn(coroutine)
         log.info("agent is up", extra={"target": self._settings.target_address})
         await self._stop.wait()
+        self.close()
         log.info("agent has ended")
 
+    def close(self):
+        """Send and take in nothing more."""
+        for task in list(self._tasks):
+            task.cancel()
+        if self._transport is not None:
+            self._transport.close()
+
     def connection_made(self, transport):
         self._transport = transport
 
@@ -125,6 +133,9 @@
 
     def _take_order(self, notice):
         """Queue an order unless the same one waits already."""
+        if notice.kind not in {kind.value for kind in OrderKind}:
+            log.warn("unknown order", extra={"kind": notice.kind[:40]})
+            return
         key = (notice.kind, notice.epoch, notice.orders_count, notice.step)
         if key not in self._queued_orders:
             self._queued_orders.add(key)
--- /dev/null
+++ b/tests/test_ranks_agent.py
@@ -0,0 +1,197 @@
+"""Whole agents, over datagrams on loopback, in front of a stand-in group."""
+
+import asyncio
+import socket
+import unittest
+
+import logbook
+
+from waxwinghold._clock import Clock
+from waxwinghold._gateway.errors import SilentTargetError
+from waxwinghold._gateway.notices import (
+    FORMAT,
+    GatewayNotice,
+    OrderNotice,
+    encoder,
+)
+from waxwinghold._ranks.agent import RankAgent
+from waxwinghold._ranks.model import GroupShape
+from waxwinghold._ranks.port import RankPort
+from waxwinghold._ranks.settings import RankSettings
+from waxwinghold_standins.fleet_ranks import FleetGroup
+
+from .support.gateway import free_port
+
+RANKS_COUNT = 4
+SETS_COUNT = 3
+EXPERTS_COUNT = 16
+PASS_MS = 20
+SHAPE = GroupShape(
+    sets_count=SETS_COUNT,
+    experts_count=EXPERTS_COUNT,
+    places_count=6,
+    spare_count=2,
+    slots_count=3,
+    expert_share=0.85,
+    expert_copy_ms=1.0,
+)
+
+
+class StandinPort(RankPort):
+    """Calls a ``FleetRank``; ``silent`` leaves every call unanswered."""
+
+    def __init__(self, *, rank):
+        self.rank = rank
+        self.silent = False
+        self.maps_given = []
+
+    def _check(self):
+        if self.silent:
+            raise SilentTargetError("no answer")
+
+    async def report(self):
+        self._check()
+        return self.rank.report()
+
+    async def counts(self, *, sets_count):
+        self._check()
+        step = self.rank.group.step
+        counts = [step * 10 + 1] * EXPERTS_COUNT
+        counts[0] = step * 400
+        return [counts for _ in range(sets_count)]
+
+    async def held_experts(self):
+        self._check()
+        return self.rank.version, self.rank.experts
+
+    async def give(self, order):
+        self._check()
+        if order.ranks_by_set is not None:
+            self.maps_given.append(order.ranks_by_set)
+        return self.rank.carry_out(order)
+
+
+class Directory:
+    async def read(self):
+        return [(agent_ip(rank), 80) for rank in range(RANKS_COUNT)], SHAPE
+
+
+def agent_ip(rank):
+    return f"127.0.7.{rank + 1}"
+
+
+class AgentTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+        self.group = FleetGroup(
+            ranks_count=RANKS_COUNT,
+            experts_count=EXPERTS_COUNT,
+            sets_count=SETS_COUNT,
+        )
+        self.ports = [StandinPort(rank=rank) for rank in self.group.ranks]
+        self.udp_port = free_port(socket.SOCK_DGRAM)
+        self.agents = [self.agent(rank) for rank in range(RANKS_COUNT)]
+        self.tasks = [asyncio.create_task(agent.run()) for agent in self.agents]
+        self.tasks.append(asyncio.create_task(self.passes()))
+        self.addAsyncCleanup(self.end)
+
+    def agent(self, rank):
+        settings = RankSettings(
+            name=f"agent-{rank}",
+            data_centre="dc-a",
+            target_address=f"{agent_ip(rank)}:80",
+            service="models",
+            store_address="127.0.0.1:1",
+            peers_ip=agent_ip(rank),
+            peers_port=self.udp_port,
+        )
+        by_ip = {agent_ip(number): port for number, port in enumerate(self.ports)}
+        return RankAgent(
+            clock=Clock(),
+            settings=settings,
+            port=self.ports[rank],
+            make_port=lambda address: by_ip[address.rpartition(":")[0]],
+            directory=Directory(),
+        )
+
+    async def passes(self):
+        while True:
+            await asyncio.sleep(PASS_MS / 1000)
+            self.group.begin_pass()
+
+    async def end(self):
+        for agent in self.agents:
+            agent.close()
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def until_changed(self, limit_s=10):
+        async with asyncio.timeout(limit_s):
+            while min(one.version for one in self.group.ranks) == 0:
+                await asyncio.sleep(0.02)
+
+    async def test_skewed_demand_changes_the_map_of_all_ranks(self):
+        await self.until_changed()
+        self.assertEqual(self.group.mixed_count, 0)
+        holders = sum(0 in one.experts[0] for one in self.group.ranks)
+        self.assertGreater(holders, 1)
+
+    async def test_the_first_map_names_every_set(self):
+        await self.until_changed()
+        for port in self.ports:
+            self.assertEqual({len(given) for given in port.maps_given}, {SETS_COUNT})
+
+    async def test_a_gateway_that_makes_itself_known_gets_the_reports(self):
+        received = asyncio.Event()
+
+        class Listener(asyncio.DatagramProtocol):
+            def datagram_received(self, data, address):
+                received.set()
+
+        loop = asyncio.get_running_loop()
+        transport, _ = await loop.create_datagram_endpoint(
+            Listener, local_addr=("127.0.7.99", self.udp_port)
+        )
+        self.addCleanup(transport.close)
+        notice = GatewayNotice(
+            format=FORMAT,
+            name="gateway-1",
+            started_ms=1,
+            sequence=1,
+            members=[],
+            counts={},
+            waiting={},
+        )
+        await asyncio.sleep(0.2)
+        transport.sendto(encoder.encode(notice), (agent_ip(1), self.udp_port))
+        async with asyncio.timeout(3):
+            await received.wait()
+
+    async def test_garbage_does_not_stop_an_agent(self):
+        await asyncio.sleep(0.2)
+        with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
+            sock.bind(("127.0.7.98", 0))
+            odd = OrderNotice(
+                format=FORMAT,
+                group="g0",
+                epoch=1,
+                kind="explode",
+                orders_count=0,
+                token=1,
+                step=None,
+                version=None,
+                ranks_by_set=None,
+            )
+            garbage = (b"", b"\x00", b"\x96\xa4rank\x02", b"x" * 9000)
+            for data in (*garbage, encoder.encode(odd)):
+                sock.sendto(data, (agent_ip(0), self.udp_port))
+        await self.until_changed()
+
+    async def test_a_rank_that_answers_nothing_leaves_its_group_on_its_map(self):
+        self.ports[2].silent = True
+        await asyncio.sleep(2.5)
+        self.assertEqual({one.version for one in self.group.ranks}, {0})
+        self.assertEqual(self.group.mixed_count, 0)
