--- a/tests/test_operations_page.py
+++ b/tests/test_operations_page.py
@@ -4,6 +4,8 @@
 import unittest
 
 from waxwinghold import _errors
+from waxwinghold._gateway import errors as gateway_errors
+from waxwinghold._gateway import routes as gateway_routes
 
 PAGE = pathlib.Path(__file__).parents[1] / "docs" / "OPERATIONS.md"
 
@@ -12,7 +14,8 @@
     def test_every_request_error_is_explained(self):
         kinds = [
             kind
-            for kind in vars(_errors).values()
+            for module in (_errors, gateway_errors, gateway_routes)
+            for kind in vars(module).values()
             if isinstance(kind, type) and issubclass(kind, _errors.RequestError)
         ]
         page = PAGE.read_text()
