--- a/src/waxwinghold/_gateway/choice.py
+++ b/src/waxwinghold/_gateway/choice.py
@@ -6,6 +6,10 @@
 
 FAILURE_WEIGHT = 4.0  # A target that fails all requests counts as four loads.
 SILENT_WEIGHT = 2.0  # Used last: its machine may be cut off, or only its agent.
+# Targets that a gateway compares for each of its equal share of them. Gateways
+# that all compared every target would crowd the one that looked emptiest last.
+COMPARED_SHARES_COUNT = 4
+COMPARED_MIN_COUNT = 2
 AWAY_WEIGHT = 0.02  # Decides between equals only: a far data centre costs 1 ms.
 
 seat_policy = Registry(kind="seat")
@@ -18,7 +22,7 @@
     The naive policy: blind to the other gateways and to sick targets.
     """
 
-    def __init__(self, *, data_centre="", pace=None, rng=None):
+    def __init__(self, *, data_centre="", pace=None, gateways_count=None, rng=None):
         self._rng = rng or random.Random()
 
     def choose(self, seats, *, tried, now_ms):
@@ -34,18 +38,21 @@
     """Takes the target with most free places, all gateways counted.
 
     Answers: several gateways that fill one target because each sees only its
-    own part, a target that fails requests while its health check passes, and a
-    slow rank that slows the whole group that it steps with.
+    own part, many gateways that choose alike on counts that lag, a target that
+    fails requests while its health check passes, and a slow rank that slows the
+    whole group that it steps with.
 
     Args:
         data_centre: The gateway's own; preferred among equals.
         pace: Tells how much slower than usual a seat's group steps.
+        gateways_count: Tells how many gateways choose among the same targets.
         rng: Breaks ties, so that gateways do not choose alike.
     """
 
-    def __init__(self, *, data_centre, pace=None, rng=None):
+    def __init__(self, *, data_centre, pace=None, gateways_count=None, rng=None):
         self._data_centre = data_centre
         self._pace = pace or (lambda seat: 1.0)
+        self._gateways_count = gateways_count or (lambda: 1)
         self._rng = rng or random.Random()
 
     def choose(self, seats, *, tried, now_ms):
@@ -65,7 +72,16 @@
         ]
         if not usable:
             return None
-        return min(usable, key=lambda seat: self._cost(seat, now_ms))
+        compared = self._compared(usable)
+        return min(compared, key=lambda seat: self._cost(seat, now_ms))
+
+    def _compared(self, usable):
+        """Return a random part of ``usable``: all of them for few gateways."""
+        share = len(usable) / self._gateways_count()
+        count = max(COMPARED_MIN_COUNT, round(COMPARED_SHARES_COUNT * share))
+        if count >= len(usable):
+            return usable
+        return self._rng.sample(usable, count)
 
     def _cost(self, seat, now_ms):
         load = seat.held_count / seat.target.slots_count
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -91,6 +91,7 @@
                     "least_held",
                     data_centre=self.settings.data_centre,
                     pace=self.seats.group_pace,
+                    gateways_count=lambda: self.peers.gateways_count,
                 ),
                 line=line_policy.make("on_time_first"),
             )
--- a/src/waxwinghold/_ranks/balancing.py
+++ b/src/waxwinghold/_ranks/balancing.py
@@ -1,5 +1,7 @@
 """Decides when a group's expert map is changed, and has the leader do it."""
 
+import asyncio
+
 import logbook
 
 from .demand import RecentDemand
@@ -102,18 +104,8 @@
             return None
         share = self.shape.expert_share
         move_price = MOVE_PRICE_RATIO / worth * len(demand) / share
-        plans = []
-        for set_demand, ranks in zip(demand, held):
-            plans.append(
-                self._policy.plan_set(
-                    demand=set_demand,
-                    ranks=ranks,
-                    shape=self.shape,
-                    move_price=move_price,
-                )
-            )
-            # Planning one set takes milliseconds; reports go on in between.
-            await self._clock.sleep_ms(0)
+        # Off the event loop: the other agents must go on hearing this one.
+        plans = await asyncio.to_thread(self._plan_sets, demand, held, move_price)
         before = step_length([one.skew_before for one in plans], expert_share=share)
         after = step_length([one.skew for one in plans], expert_share=share)
         moves_count = sum(one.moves_count for one in plans)
@@ -134,6 +126,17 @@
         )
         return [[sorted(experts) for experts in one.ranks] for one in plans]
 
+    def _plan_sets(self, demand, held, move_price):
+        return [
+            self._policy.plan_set(
+                demand=set_demand,
+                ranks=ranks,
+                shape=self.shape,
+                move_price=move_price,
+            )
+            for set_demand, ranks in zip(demand, held)
+        ]
+
     def _worth_of_speed(self):
         """Return what shorter steps are worth now, from 0 (idle) to 1 (full)."""
         notices = self._view.notices().values()
--- a/tests/test_gateway_seats.py
+++ b/tests/test_gateway_seats.py
@@ -104,6 +104,51 @@
         self.assertEqual({self.choose() for _ in range(20)}, {"w1"})
 
 
+class CrowdTests(SeatCase):
+    """Forty gateways that choose on counts of a moment ago."""
+
+    TARGETS_COUNT = 64
+    GATEWAYS_COUNT = 40
+
+    def most_chosen(self, gateways_count):
+        names = [f"w{number}" for number in range(self.TARGETS_COUNT)]
+        self.seats.replace([target(name) for name in names])
+        rng = random.Random(11)
+        for seat in self.seats:
+            seat.others_count = rng.randrange(2, 5)
+        chosen = []
+        for number in range(self.GATEWAYS_COUNT):
+            self.policy = seat_policy.make(
+                "least_held",
+                data_centre="dc-a",
+                gateways_count=lambda: gateways_count,
+                rng=random.Random(number),
+            )
+            chosen.append(self.choose())
+        held = {seat.target.name: seat.others_count for seat in self.seats}
+        for name in chosen:
+            held[name] += 1
+        return max(held.values())
+
+    def test_gateways_that_know_of_each_other_overfill_no_target(self):
+        self.assertLessEqual(self.most_chosen(self.GATEWAYS_COUNT), SLOTS_COUNT)
+
+    def test_all_gateways_together_compare_every_target_several_times(self):
+        names = {f"w{number}" for number in range(self.TARGETS_COUNT)}
+        self.seats.replace([target(name) for name in names])
+        usable = list(self.seats)
+        compared = set()
+        for number in range(self.GATEWAYS_COUNT):
+            policy = seat_policy.make(
+                "least_held",
+                data_centre="dc-a",
+                gateways_count=lambda: self.GATEWAYS_COUNT,
+                rng=random.Random(number),
+            )
+            compared |= {seat.target.name for seat in policy._compared(usable)}
+        self.assertGreater(len(compared), 0.9 * len(names))
+
+
 class PaceTests(SeatCase):
     def setUp(self):
         super().setUp()
