Keep an agent alive whose group is formed anew while it reads ranks

Ruled out: the ports and the start (the process had been up for 0.9 s). Test: a group formed anew during a read from afar, KeyError before.

--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -184,15 +184,14 @@
             return True
         return self.view.agent_silent(rank, limit_ms=AGENT_SILENCE_MS)
 
-    def _far_port(self, rank):
-        address = self.view.address(rank)
+    def _far_port(self, address):
         if address not in self._far_ports:
             self._far_ports[address] = self._make_port(address)
         return self._far_ports[address]
 
     async def _read_far(self, rank, known):
         try:
-            report = await self._far_port(rank).report()
+            report = await self._far_port(known.address).report()
         except SendError as error:
             log.info("rank not read", extra={"rank": rank, "reason": str(error)})
             return
@@ -201,13 +200,14 @@
             read = msgspec.structs.replace(notice, sequence=known.sequence)
             self.view.take_read(rank, read)
 
-    async def _give_far(self, rank, order):
-        """Give an order to a rank whose own agent is silent."""
-        log.info("order from afar", extra={"rank": rank, "kind": order.kind.value})
+    async def _give_far(self, address, order):
+        """Give an order to the rank at ``address``, whose own agent is silent."""
+        details = {"target": address, "kind": order.kind.value}
+        log.info("order from afar", extra=details)
         try:
-            await self._far_port(rank).give(order)
+            await self._far_port(address).give(order)
         except SendError as error:
-            log.info("order unanswered", extra={"rank": rank, "reason": str(error)})
+            log.info("order unanswered", extra=details | {"reason": str(error)})
 
     async def _keep_directory(self):
         """Learn where the other ranks are, and the shape of their groups."""
@@ -333,7 +333,7 @@
     def _send_order(self, rank, order):
         """Send an order of this leader to the agent of ``rank``."""
         if self._is_far(rank):
-            self._spawn(self._give_far(rank, order))
+            self._spawn(self._give_far(self.view.address(rank), order))
             return
         notice = OrderNotice(
             format=FORMAT,
--- a/src/waxwinghold/_ranks/balancing.py
+++ b/src/waxwinghold/_ranks/balancing.py
@@ -82,8 +82,9 @@
         if self._leader.is_unfinished():
             await self._leader.finish()
             return
+        epoch = self._view.epoch
         plan = await self._plan()
-        if plan is None:
+        if plan is None or self._view.epoch != epoch:
             return
         started_ms = self._clock.now_ms()
         done = await self._leader.change(plan)
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -5,6 +5,7 @@
 import unittest
 
 import logbook
+import msgspec
 
 from waxwinghold._clock import Clock
 from waxwinghold._gateway.errors import SilentTargetError
@@ -15,7 +16,7 @@
     encoder,
 )
 from waxwinghold._ranks.agent import RankAgent
-from waxwinghold._ranks.model import GroupShape
+from waxwinghold._ranks.model import GroupShape, Order, OrderKind
 from waxwinghold._ranks.port import RankPort
 from waxwinghold._ranks.settings import RankSettings
 from waxwinghold_standins.fleet_ranks import FleetGroup
@@ -170,6 +171,28 @@
         async with asyncio.timeout(3):
             await received.wait()
 
+    async def test_a_group_formed_anew_while_a_rank_is_read_from_afar(self):
+        await asyncio.sleep(0.5)
+        agent = self.agents[1]
+        known = dict(agent.view.notices())
+        own = known[1]
+        read = self.ports[2].report
+
+        async def form_anew():
+            newer = msgspec.structs.replace(
+                own, epoch=own.epoch + 1, sequence=own.sequence + 1000
+            )
+            agent.view.own(newer)
+            return await read()
+
+        self.ports[2].report = form_anew
+        self.ports[3].report = form_anew
+        order = Order(kind=OrderKind.GO, epoch=1, orders_count=0, token=1, step=5)
+        for rank in (2, 3):
+            await agent._read_far(rank, known[rank])
+            await agent._give_far(known[rank].address, order)
+        self.assertEqual(len(agent._tasks), 6)
+
     async def test_garbage_does_not_stop_an_agent(self):
         await asyncio.sleep(0.2)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
