Outlast the copies of earlier orders before a hold is relied on

Ruled out: proving again before the resume (the copy arrives after it); names of maps (a copied load brings the name back). Change: READ, which comes before the hold of a change, waits until 600 ms after the agent's last order; a settling HOLD does so and holds again.

--- a/src/waxwinghold/_agent/_maps/engine.py
+++ b/src/waxwinghold/_agent/_maps/engine.py
@@ -32,6 +32,49 @@
         """Free a map that is not in use."""
 
 
+class NotedOrders:
+    """An engine's orders, with the moment of the latest one.
+
+    A process that ended before this one began may have given orders until
+    then, so the start counts as an order.
+
+    Args:
+        engine: The ``EngineOrders`` that carry out what is asked.
+        clock: The ``Clock`` of the agent.
+    """
+
+    def __init__(self, *, engine, clock):
+        self._engine = engine
+        self._clock = clock
+        self.latest_ms = clock.now_ms()
+
+    async def read_map(self):
+        """Return the engine's own word on its maps."""
+        return await self._engine.read_map()
+
+    async def hold_before(self, step):
+        """Let no step from ``step`` on begin; ``None`` ends the hold."""
+        await self._note(self._engine.hold_before(step))
+
+    async def load_experts(self, map_id, experts):
+        """Begin to load experts."""
+        await self._note(self._engine.load_experts(map_id, experts))
+
+    async def switch_map(self, map_id, step):
+        """Use a loaded map from ``step`` on."""
+        await self._note(self._engine.switch_map(map_id, step))
+
+    async def drop_map(self, map_id):
+        """Free a map that is not in use."""
+        await self._note(self._engine.drop_map(map_id))
+
+    async def _note(self, order):
+        try:
+            await order
+        finally:
+            self.latest_ms = self._clock.now_ms()
+
+
 class DeskEngine:
     """The engine behind an ``OrderDesk``."""
 
--- a/src/waxwinghold/_agent/_maps/member.py
+++ b/src/waxwinghold/_agent/_maps/member.py
@@ -7,6 +7,7 @@
 from ..._errors import WaxwingError
 from ..._messages.maps import MapOrderDone, MapReport, OrderKind, Term
 from ..fencing import StaleTermError, SupersededError, TermGuard
+from .engine import NotedOrders
 from .errors import LeaseExpiredError, MapLostError, OrderFailedError
 
 HOLD_NOW_STEP = 0
@@ -39,7 +40,7 @@
     def __init__(self, *, name, group, incarnations, engine, clock, timing):
         self.name = name
         self._incarnations = incarnations
-        self.engine = engine
+        self.engine = NotedOrders(engine=engine, clock=clock)
         self.guard = TermGuard()
         self.target = None
         self.target_term = Term()
@@ -163,9 +164,19 @@
                 return engine
             await self._clock.sleep_ms(self._timing.poll_ms)
 
+    async def _outlast_copies(self, order, ordered_ms):
+        """Wait until no copy of an order given by ``ordered_ms`` can arrive."""
+        until_ms = ordered_ms + self._timing.copy_life_ms
+        while self._clock.now_ms() < until_ms:
+            self._check(order)
+            await self._clock.sleep_ms(self._timing.poll_ms)
+        self._check(order)
+
     @_procedure(OrderKind.READ)
     async def _read(self, order):
-        self._check(order)
+        # The steps go on meanwhile; the hold that follows can rely on no late
+        # copy of an earlier order ending it or changing the map under it.
+        await self._outlast_copies(order, self.engine.latest_ms)
 
     @_procedure(OrderKind.LOAD)
     async def _load(self, order):
@@ -177,7 +188,12 @@
     async def _hold(self, order):
         # A step that has come already stops the engine at its next step, which
         # does no harm: ranks in lock-step stop together all the same.
+        ordered_ms = self.engine.latest_ms
         await self._hold_engine(order)
+        if order.step is None:
+            # No read came before, as it does in a change.
+            await self._outlast_copies(order, ordered_ms)
+            await self._hold_engine(order)
 
     @_procedure(OrderKind.SWITCH)
     async def _switch(self, order):
--- a/src/waxwinghold/_agent/_maps/timing.py
+++ b/src/waxwinghold/_agent/_maps/timing.py
@@ -28,6 +28,8 @@
             the change is given up, as some stand still meanwhile; shorter than
             the lease, so that an agent that is not heard can still be let go.
         load_limit_ms: The longest that a phase with loading may take.
+        copy_life_ms: How long after an order a late copy of it can still reach
+            the engine; twice the delay that the tests' network brings about.
         ahead_steps_count: Steps between the last known one and the switch.
     """
 
@@ -43,6 +45,7 @@
     phase_limit_ms: float = 3000.0
     hold_limit_ms: float = 300.0
     load_limit_ms: float = 600_000.0
+    copy_life_ms: float = 600.0
     ahead_steps_count: int = 10
 
     @property
--- a/tests/test_maps.py
+++ b/tests/test_maps.py
@@ -50,6 +50,10 @@
         return await self.engine.read_map()
 
 
+async def wait_for_nothing(member, order, ordered_ms):
+    """Go on at once, as if no order could arrive a second time."""
+
+
 async def resume_unproved(member, order):
     """Let the engine go on with whatever map it is on."""
     await member.engine.hold_before(None)
@@ -154,7 +158,10 @@
 
     def test_a_member_that_resumes_unproved_is_caught_by_chance_faults(self):
         procedures = {OrderKind.RESUME: resume_unproved}
-        with mock.patch.dict(member_module._PROCEDURES, procedures):
+        with (
+            mock.patch.dict(member_module._PROCEDURES, procedures),
+            mock.patch.object(Member, "_outlast_copies", wait_for_nothing),
+        ):
             worlds = [run_world(lambda: chaos_scenario(seed)) for seed in (0, 16)]
         self.assertTrue(all(world.mixed_count for world in worlds))
 
@@ -195,6 +202,11 @@
         world = run_world(lambda: chaos_scenario(DOUBLED_ORDERS_SEED))
         self.assertEqual(world.mixed_count, 0)
 
+    def test_a_member_that_does_not_outlast_copies_is_caught(self):
+        with mock.patch.object(Member, "_outlast_copies", wait_for_nothing):
+            world = run_world(lambda: chaos_scenario(DOUBLED_ORDERS_SEED))
+        self.assertGreater(world.mixed_count, 0)
+
     def test_a_group_without_any_map_starts_on_a_planned_one(self):
         async def scenario():
             world = World(names="abc", map_id="")
