Have one gateway of a data centre wait at the store for all of it

Ruled out: longer waits alone (keys would get too old when a connection goes silent); reading without waiting (configuration would come too late). Change: the first gateway of a data centre, by address, waits; the others ask it every 300 ms whether anything is new and read the store only then, or when what they know is 2.5 s old. What a reader tells is as old as its own asking and the asking of the one who is told; answers carry a nonce.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -16,9 +16,11 @@
 from .front import Front
 from .line import line_policy
 from .model import CallerLimits
+from .notices import AskNotice, FreshNotice
 from .peers import Peers
 from .places import Places
 from .published import Published
+from .readers import Readers
 from .seats import Seats
 from .suspects import Suspects
 
@@ -42,7 +44,7 @@
             settings that never change.
         speech: The ``Speech`` of callers and targets.
         make_source: Returns the object whose ``run`` keeps ``Published`` up to
-            date, given that ``Published``.
+            date, given that ``Published`` and the ``Readers``.
     """
 
     def __init__(self, *, clock, settings, speech, make_source, settings_file=None):
@@ -59,7 +61,16 @@
         self.peers = Peers(
             clock=clock, settings=settings, seats=self.seats, waiting=self._waiting
         )
-        self._source = make_source(self.published)
+        self.readers = Readers(
+            clock=clock,
+            published=self.published,
+            own_ip=settings.peers_ip,
+            colleagues=self.peers.colleagues,
+            send=self.peers.send,
+        )
+        self.peers.handlers[AskNotice] = self.readers.on_ask
+        self.peers.handlers[FreshNotice] = self.readers.on_fresh
+        self._source = make_source(self.published, self.readers)
         self._front = Front(gateway=self)
         self._places = {}
         self._budgets = {}
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-FORMAT = 2
+FORMAT = 3
 LIMIT_BYTES = 60_000
 
 
@@ -11,6 +11,7 @@
 
     Args:
         format: Notices of another format are passed over.
+        data_centre: Where the sender stands.
         started_ms: Wall time of the sender's start; a later one is a restart.
         sequence: Grows by one with each notice.
         members: Addresses of the gateways that the sender heard lately.
@@ -20,6 +21,7 @@
 
     format: int
     name: str
+    data_centre: str
     started_ms: int
     sequence: int
     members: list[str]
@@ -90,7 +92,35 @@
     ranks_by_set: list[list[list[int]]] | None
 
 
-Notice = GatewayNotice | RankNotice | CountsNotice | OrderNotice
+class AskNotice(msgspec.Struct, array_like=True, frozen=True, tag="ask"):
+    """One gateway's question how new another one's knowledge of the store is.
+
+    Args:
+        nonce: Comes back with the answer; nobody else can guess it.
+    """
+
+    format: int
+    nonce: int
+
+
+class FreshNotice(msgspec.Struct, array_like=True, frozen=True, tag="fresh"):
+    """How new the sender's knowledge of the store is.
+
+    Args:
+        echo: The nonce that is answered; 0 for news that nobody asked for.
+        at: The store's revision up to which the sender knows everything.
+        age_ms: How long ago the sender asked the store for that.
+    """
+
+    format: int
+    echo: int
+    at: int
+    age_ms: float
+
+
+Notice = (
+    GatewayNotice | RankNotice | CountsNotice | OrderNotice | AskNotice | FreshNotice
+)
 
 encoder = msgspec.msgpack.Encoder()
 decoder = msgspec.msgpack.Decoder(Notice)
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -41,6 +41,10 @@
     Args:
         seats: The ``Seats`` whose ``others_count`` is kept up to date.
         waiting: Returns waiting requests by service.
+
+    Attributes:
+        handlers: Called with the sender's address and the notice, by the class
+            of those notices that are not taken in here.
     """
 
     def __init__(self, *, clock, settings, seats, waiting):
@@ -56,6 +60,7 @@
         self._last_counts = None
         self._quiet_rounds_count = 0
         self.malformed_count = 0
+        self.handlers = {RankNotice: lambda ip, notice: seats.take_rank(notice)}
 
     @property
     def _seeds(self):
@@ -67,6 +72,21 @@
         """Return how many gateways there are, this one included."""
         return 1 + sum(peer.notice is not None for peer in self._peers.values())
 
+    def colleagues(self):
+        """Return the addresses of the gateways heard in this data centre."""
+        return [
+            ip
+            for ip, peer in self._peers.items()
+            if peer.notice is not None
+            and peer.notice.data_centre == self.settings.data_centre
+        ]
+
+    def send(self, ip, notice):
+        """Send a notice to the gateway at ``ip``; it may be lost."""
+        if self._transport is not None:
+            address = (ip, self.settings.peers_port)
+            self._transport.sendto(encoder.encode(notice), address)
+
     def waiting_count(self, service):
         """Return how many requests wait at the other gateways."""
         return sum(
@@ -107,8 +127,8 @@
             return
         if isinstance(notice, GatewayNotice):
             self._take(address[0], notice)
-        elif isinstance(notice, RankNotice):
-            self._seats.take_rank(notice)
+        elif type(notice) in self.handlers:
+            self.handlers[type(notice)](address[0], notice)
 
     def _take(self, ip, notice):
         peer = self._peers.setdefault(ip, Peer())
@@ -151,6 +171,7 @@
         notice = GatewayNotice(
             format=FORMAT,
             name=self.settings.name,
+            data_centre=self.settings.data_centre,
             started_ms=self._started_ms,
             sequence=self._sequence,
             members=heard,
--- a/src/waxwinghold/platform/__main__.py
+++ b/src/waxwinghold/platform/__main__.py
@@ -30,10 +30,11 @@
     settings = file.settings
     clock = boot_clock()
 
-    def make_source(published):
+    def make_source(published, readers):
         return StoreWatcher(
             clock=clock,
             published=published,
+            readers=readers,
             address=split_ip_port(settings.store_address),
         )
 
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -20,7 +20,6 @@
 OK = 200
 HISTORY_GONE = 410
 ANSWER_LIMIT_MS = 1500.0  # A slow store takes some 50 times its usual 4 ms.
-WATCH_WAIT_MS = 1500.0  # Half of what keys may be old for leaves time to ask again.
 RETRY_BASE_MS = 150.0
 RETRY_LIMIT_MS = 800.0  # Recovers well within the bounds of configuration.
 
@@ -107,13 +106,15 @@
 
     Args:
         published: Takes configurations, targets and the age of both.
+        readers: The ``Readers`` that say when the store is to be asked.
         address: ``(ip, port)`` of the store.
         rng: Source of the jitter between tries.
     """
 
-    def __init__(self, *, clock, published, address, rng=None):
+    def __init__(self, *, clock, published, readers, address, rng=None):
         self._clock = clock
         self._published = published
+        self._readers = readers
         self._client = KeptClient(address=address)
         self._rng = rng or random.Random()
         self._targets = {}
@@ -123,18 +124,20 @@
     async def run(self):
         """Read and watch until cancelled."""
         while True:
+            wait_ms = 0.0 if self._at is None else await self._readers.turn()
             asked_ms = self._clock.now_ms()
             try:
                 if self._at is None:
                     await self._read_all()
                 else:
-                    await self._watch()
+                    await self._watch(wait_ms)
             except (StoreError, msgspec.MsgspecError) as error:
                 self._published.note_failure(error)
                 await self._pause(error)
                 continue
             self._failures_count = 0
             self._published.note_answer(asked_ms=asked_ms)
+            self._readers.note_read(self._at)
 
     async def _read_all(self):
         """Read configuration and targets from the start."""
@@ -150,9 +153,8 @@
         # Changes since the first page come again with the watch.
         self._at = at
 
-    async def _watch(self):
-        wait_ms = int(WATCH_WAIT_MS)
-        query = {"prefix": "", "after": self._at, "wait-ms": wait_ms}
+    async def _watch(self, wait_ms):
+        query = {"prefix": "", "after": self._at, "wait-ms": int(wait_ms)}
         try:
             limit_ms = wait_ms + ANSWER_LIMIT_MS
             body = await read_store(
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -129,9 +129,12 @@
         )
         clock = Clock()
 
-        def make_source(published):
+        def make_source(published, readers):
             return StoreWatcher(
-                clock=clock, published=published, address=self.store.address
+                clock=clock,
+                published=published,
+                readers=readers,
+                address=self.store.address,
             )
 
         self.gateway = Gateway(
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,6 +8,7 @@
 from waxwinghold._clock import Clock
 from waxwinghold._gateway.model import Target
 from waxwinghold._gateway.published import Published
+from waxwinghold._gateway.readers import Readers
 from waxwinghold._gateway.seats import Seats
 from waxwinghold.platform.store import StoreWatcher
 from waxwinghold_standins.fleet_store import FleetStore, worker_entry
@@ -28,8 +29,18 @@
         clock = Clock()
         self.seats = Seats(clock=clock)
         self.published = Published(clock=clock, seats=self.seats, grace_ms=GRACE_MS)
+        readers = Readers(
+            clock=clock,
+            published=self.published,
+            own_ip="127.0.0.1",
+            colleagues=list,
+            send=None,
+        )
         self.watcher = StoreWatcher(
-            clock=clock, published=self.published, address=self.store.address
+            clock=clock,
+            published=self.published,
+            readers=readers,
+            address=self.store.address,
         )
 
     def start(self):
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -160,6 +160,7 @@
         notice = GatewayNotice(
             format=FORMAT,
             name="gateway-1",
+            data_centre="dc-a",
             started_ms=1,
             sequence=1,
             members=[],
