Add a fault soak of real gateways and agents behind loopback proxies

Each rule of the judge is shown a breach in the tests. Ruled out: faults inside the processes (they would test another program). Before: no such run. Conclusion: not covered are clocks that jump and cuts of datagrams.

--- /dev/null
+++ b/src/waxwinghold_soak/callers.py
@@ -0,0 +1,95 @@
+"""Callers that keep connections open, one task for each."""
+
+import asyncio
+import itertools
+import random
+
+import aiohttp
+
+from .judge import UNDISTURBED_S, Call
+
+HOST = "shop.example"
+KINDS = ("safe", "unsafe", "stream", "once")
+METHODS = {"unsafe": "POST", "once": "POST"}
+DEADLINE_MS = 2500
+CALLER_LIMIT_S = 6.0
+
+
+class Caller:
+    """Calls one gateway again and again over one kept connection.
+
+    Args:
+        program: The ``Program`` of that gateway.
+        operator: Tells the keys and the configuration acknowledged last.
+        judge: The ``Judge``.
+        seed: Decides what is called when.
+    """
+
+    _numbers = itertools.count(1)
+
+    def __init__(self, *, program, operator, judge, seed):
+        self._program = program
+        self._operator = operator
+        self._judge = judge
+        self._random = random.Random(seed)
+
+    async def run(self):
+        """Call until cancelled."""
+        connector = aiohttp.TCPConnector(limit=1, keepalive_timeout=30)
+        timeout = aiohttp.ClientTimeout(total=CALLER_LIMIT_S)
+        async with aiohttp.ClientSession(
+            connector=connector, timeout=timeout, auto_decompress=False
+        ) as session:
+            while True:
+                await asyncio.sleep(self._random.uniform(0.02, 0.12))
+                if self._program.running:
+                    await self._call(session, self._next_call())
+
+    def _next_call(self):
+        number = next(self._numbers)
+        kind = self._random.choice(KINDS)
+        version = None
+        if self._random.random() < 0.15:
+            kind, version = "safe", self._operator.version
+        path = f"/v{version}/{number}" if version else f"/{kind}/{number}"
+        return Call(
+            request_id=f"r-{number}",
+            kind=kind,
+            path=path,
+            key=self._random.choice(self._operator.keys_in_use),
+            gateway=self._program,
+            incarnation=self._program.starts_count,
+            sent_at=asyncio.get_running_loop().time(),
+            version=version,
+        )
+
+    async def _call(self, session, call):
+        ip, port = self._program.settings["callers_address"].split(":")
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": call.request_id,
+            "Credential": call.key,
+            "Deadline-Ms": str(DEADLINE_MS),
+        }
+        method = METHODS.get(call.kind, "GET")
+        url = f"http://{ip}:{port}{call.path}"
+        loop = asyncio.get_running_loop()
+        try:
+            async with session.request(method, url, headers=headers) as answer:
+                call.status = answer.status
+                call.sealed = "Server-Seal" in answer.headers
+                call.body = await answer.read()
+                call.whole = True
+        except (aiohttp.ClientConnectorError, TimeoutError):
+            # Nothing was sent, or the caller itself gave up.
+            call.crossed_close = True
+        except aiohttp.ClientError:
+            call.whole = False
+        call.ended_at = loop.time()
+        disturbed_at = self._program.disturbed_at
+        call.calm = (
+            not self._program.paused
+            and disturbed_at < call.sent_at - UNDISTURBED_S
+            and self._program.starts_count == call.incarnation
+        )
+        self._judge.take(call)
--- /dev/null
+++ b/src/waxwinghold_soak/operator.py
@@ -0,0 +1,114 @@
+"""The operator's part: configurations, keys, workers that come and leave."""
+
+import asyncio
+
+from waxwinghold_standins.fleet_store import route_entry, worker_entry
+
+CUSTOMER = "a-customer"
+MODELS = "models"
+STREAM_FIELDS = {"resumable": True, "gap-goal-ms": 500, "timeout-ms": 4000}
+
+
+class Operator:
+    """Writes to the store and notes when that was acknowledged.
+
+    Args:
+        store: The ``FleetStore``.
+        world: The ``World`` of the judge.
+
+    Attributes:
+        version: The configuration acknowledged last; routes ``/v1/`` up to it
+            exist.
+        keys_in_use: Keys that callers send; the revoked ones among them.
+    """
+
+    def __init__(self, *, store, world):
+        self._store = store
+        self._world = world
+        self._keys = ["key-0"]
+        self._keys_count = 1
+        self.version = 0
+        self.keys_in_use = ["key-0"]
+
+    def publish(self):
+        """Write the next configuration, which adds a route."""
+        self.version += 1
+        routes = [
+            route_entry(name=kind, prefix=f"/{kind}/", kind=kind, service=MODELS)
+            for kind in ("safe", "unsafe")
+        ]
+        routes.append(_stream_route("stream", **STREAM_FIELDS))
+        routes.append(_stream_route("once", **{"timeout-ms": 4000}))
+        routes += [
+            route_entry(name=f"v{n}", prefix=f"/v{n}/", kind="safe", service=MODELS)
+            for n in range(1, self.version + 1)
+        ]
+        configuration = {
+            "version": self.version,
+            "routes": routes,
+            "services": [
+                {"name": MODELS, "max-conns": 200},
+                {"name": "ranks", "max-conns": 50, "engine": _engine()},
+            ],
+            "tenants": [{"name": CUSTOMER, "api-keys": list(self._keys)}],
+        }
+        self._store.put("op/config", configuration)
+        self._world.acknowledged_at[self.version] = _now()
+
+    def change_keys(self):
+        """Add a key, and take the oldest away if there are several."""
+        revoked = self._keys.pop(0) if len(self._keys) > 1 else None
+        key = f"key-{self._keys_count}"
+        self._keys_count += 1
+        self._keys.append(key)
+        self.publish()
+        # Callers learn a key some time after it is in force.
+        loop = asyncio.get_running_loop()
+        loop.call_later(5.0, self.keys_in_use.append, key)
+        if revoked is not None:
+            self._world.revoked_at[revoked] = _now()
+            loop.call_later(12.0, self._forget, revoked)
+
+    def list_worker(self, worker, address, *, state="ready"):
+        """Write a worker's entry."""
+        entry = worker_entry(service=MODELS, address=address, slots=20, state=state)
+        self._store.put(f"servers/{worker.name}", entry)
+        if state == "draining":
+            self._world.leaving_at[worker.name] = _now()
+
+    def list_rank(self, name, address):
+        """Write a rank's entry."""
+        self._store.put(
+            f"servers/{name}", worker_entry(service="ranks", address=address, slots=4)
+        )
+
+    def remove(self, name):
+        """Remove an entry."""
+        self._store.delete(f"servers/{name}")
+
+    def _forget(self, key):
+        if key in self.keys_in_use and len(self.keys_in_use) > 1:
+            self.keys_in_use.remove(key)
+
+
+def _stream_route(name, **fields):
+    return route_entry(
+        name=name, prefix=f"/{name}/", kind="stream", service=MODELS, **fields
+    )
+
+
+def _engine():
+    return {
+        "sets": 2,
+        "experts": 16,
+        "placements": 8,
+        "spare": 4,
+        "slots": 4,
+        "expert-mb": 0.1,
+        "expert-share": 0.85,
+        "link-mbps": 1000.0,
+    }
+
+
+def _now():
+    return asyncio.get_running_loop().time()
--- /dev/null
+++ b/src/waxwinghold_soak/scene.py
@@ -0,0 +1,243 @@
+"""A fleet of real processes with stand-ins around it, for one seed."""
+
+import asyncio
+import contextlib
+import random
+import socket
+import tempfile
+from pathlib import Path
+
+from waxwinghold_standins.fleet_rank_server import FleetRankServer
+from waxwinghold_standins.fleet_ranks import FleetGroup
+from waxwinghold_standins.fleet_store import FleetStore
+
+from .callers import Caller
+from .faults import inject
+from .judge import Judge, World
+from .operator import Operator
+from .processes import Program
+from .proxy import Proxy
+from .workers import SoakWorker
+
+GATEWAYS_COUNT = 3
+WORKERS_COUNT = 4
+RANKS_COUNT = 3
+CALLERS_PER_GATEWAY_COUNT = 4
+START_LIMIT_S = 20.0
+PASS_S = 0.02
+LEAVE_S = 4.0  # A leaving worker serves on for longer than gateways may use it.
+# Held passes, silent connections and refused keys need some seconds to end.
+QUIET_S = 10.0
+RECOVERY_S = 3.0
+
+
+class Scene:
+    """Everything of one run.
+
+    Args:
+        seed: Decides faults, their times and what callers ask for.
+        duration_s: How long faults are brought on.
+    """
+
+    def __init__(self, *, seed, duration_s):
+        self._choose = random.Random(seed)
+        self._seed = seed
+        self._duration_s = duration_s
+        self._net = f"127.{20 + seed % 200}"
+        self._store_troubles_count = 0
+        self.faults = []
+        self.world = World()
+        self.store = FleetStore()
+        self.group = FleetGroup(ranks_count=RANKS_COUNT)
+        self.operator = Operator(store=self.store, world=self.world)
+        self.workers, self.current = [], []
+        self.store_proxies, self.worker_proxies = [], []
+        self.gateways, self.agents, self.rank_servers = [], [], []
+        self.judge = Judge(world=self.world, workers=self.workers)
+
+    def note(self, name):
+        """Note a fault for the report."""
+        self.faults.append(name)
+
+    async def run(self):
+        """Run and return the broken promises."""
+        with tempfile.TemporaryDirectory() as folder:
+            try:
+                await self._start(Path(folder))
+                await self._play()
+                self.judge.finish()
+                self._check_maps()
+                logs = _failures(Path(folder))
+            finally:
+                await self._close()
+        return self.judge.broken + logs
+
+    @contextlib.contextmanager
+    def store_trouble(self):
+        """Excuse what depends on the store for the length of the block."""
+        self._store_troubles_count += 1
+        self.world.store_trouble_until = float("inf")
+        try:
+            yield
+        finally:
+            self._store_troubles_count -= 1
+            if not self._store_troubles_count:
+                now = asyncio.get_running_loop().time()
+                self.world.store_trouble_until = now
+
+    async def replace_worker(self, place, *, announced):
+        """Have a worker leave, with or without a word, and another one come."""
+        leaving = self.current[place]
+        worker = await self._add_worker()
+        self.current[place] = worker
+        if announced:
+            self.operator.list_worker(leaving, leaving.listed_at, state="draining")
+        else:
+            self.operator.remove(leaving.name)
+            self.world.leaving_at[leaving.name] = asyncio.get_running_loop().time()
+        await asyncio.sleep(LEAVE_S)
+        self.operator.remove(leaving.name)
+
+    async def _start(self, folder):
+        await self.store.start()
+        self.operator.publish()
+        for _ in range(WORKERS_COUNT):
+            self.current.append(await self._add_worker())
+        port = _free_port(f"{self._net}.1.1")
+        for number in range(GATEWAYS_COUNT):
+            await self._add_gateway(number, port, folder)
+        for rank in self.group.ranks:
+            await self._add_agent(rank, port, folder)
+        await asyncio.gather(*(one.start() for one in self.gateways + self.agents))
+        async with asyncio.timeout(START_LIMIT_S):
+            for gateway in self.gateways:
+                await _until_ready(gateway)
+
+    async def _add_worker(self):
+        number = len(self.workers)
+        worker = SoakWorker(name=f"w{number}", seed=self._choose.random())
+        await worker.start()
+        proxy = Proxy(name=worker.name, target=worker.address)
+        await proxy.start()
+        worker.listed_at = proxy.address
+        self.workers.append(worker)
+        self.worker_proxies.append(proxy)
+        self.operator.list_worker(worker, worker.listed_at)
+        return worker
+
+    async def _add_gateway(self, number, port, folder):
+        proxy = Proxy(name=f"store of gateway {number}", target=self.store.address)
+        await proxy.start()
+        self.store_proxies.append(proxy)
+        ip = f"{self._net}.1.{number + 1}"
+        settings = {
+            "name": f"gateway-{number}",
+            "data_centre": "dc-a" if number else "dc-b",
+            "callers_address": f"{ip}:{_free_port(ip)}",
+            "readiness_address": f"{ip}:{_free_port(ip)}",
+            "store_address": "{}:{}".format(*proxy.address),
+            "peers_ip": ip,
+            "peers_port": port,
+            "seeds": [f"{self._net}.1.1:1", f"{self._net}.1.2:1"],
+            "strict_keys": True,
+        }
+        program = Program(role="gateway", settings=settings, folder=folder)
+        self.gateways.append(program)
+
+    async def _add_agent(self, rank, port, folder):
+        ip = f"{self._net}.2.{rank.rank + 1}"
+        server = FleetRankServer(rank=rank)
+        await server.start(ip)
+        self.rank_servers.append(server)
+        self.operator.list_rank(f"rank-{rank.rank}", server.address)
+        settings = {
+            "name": f"agent-{rank.rank}",
+            "data_centre": "dc-a",
+            "target_address": "{}:{}".format(*server.address),
+            "service": "ranks",
+            "store_address": "{}:{}".format(*self.store.address),
+            "peers_ip": ip,
+            "peers_port": port,
+            "seeds": [f"{self._net}.1.1:1"],
+        }
+        self.agents.append(Program(role="agent", settings=settings, folder=folder))
+
+    async def _play(self):
+        loop = asyncio.get_running_loop()
+        tasks = [asyncio.create_task(self._passes())]
+        for gateway in self.gateways:
+            for _ in range(CALLERS_PER_GATEWAY_COUNT):
+                caller = Caller(
+                    program=gateway,
+                    operator=self.operator,
+                    judge=self.judge,
+                    seed=self._choose.random(),
+                )
+                tasks.append(asyncio.create_task(caller.run()))
+        try:
+            until = loop.time() + self._duration_s
+            await inject(self, choose=self._choose, until=until)
+            await self._calm()
+            await asyncio.sleep(QUIET_S)
+            since = loop.time()
+            await asyncio.sleep(RECOVERY_S)
+            self.judge.check_recovery(since)
+        finally:
+            for task in tasks:
+                task.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+
+    async def _calm(self):
+        """End what still disturbs, and start what is missing."""
+        for program in self.gateways + self.agents:
+            program.wake()
+            await program.start()
+        for proxy in self.store_proxies + self.worker_proxies:
+            proxy.trouble = "none"
+
+    async def _passes(self):
+        while True:
+            await asyncio.sleep(PASS_S)
+            self.group.begin_pass()
+
+    def _check_maps(self):
+        if self.group.mixed_count:
+            self.judge.broken.append(f"MAP: {self.group.mixed_count} mixed passes")
+
+    async def _close(self):
+        programs = self.gateways + self.agents
+        await asyncio.gather(*(one.close() for one in programs))
+        servers = [*self.store_proxies, *self.worker_proxies, *self.rank_servers]
+        for server in (*servers, *self.workers, self.store):
+            await server.stop()
+
+
+async def _until_ready(gateway):
+    ip, port = gateway.settings["readiness_address"].split(":")
+    while True:
+        await asyncio.sleep(0.05)
+        try:
+            reader, writer = await asyncio.open_connection(ip, int(port))
+        except OSError:
+            continue
+        writer.write(b"GET /v1/readyz HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n")
+        line = await reader.readline()
+        writer.close()
+        if b" 200 " in line:
+            return
+
+
+def _failures(folder):
+    """Return what the processes themselves say went wrong in them."""
+    found = []
+    for path in sorted(folder.glob("*.log")):
+        for line in path.read_text(errors="replace").splitlines():
+            if "a task failed" in line or "Traceback" in line:
+                found.append(f"LOG: {path.stem}: {line[:400]}")
+    return found
+
+
+def _free_port(ip):
+    with socket.socket() as sock:
+        sock.bind((ip, 0))
+        return sock.getsockname()[1]
--- a/src/waxwinghold_standins/fleet_ranks.py
+++ b/src/waxwinghold_standins/fleet_ranks.py
@@ -112,7 +112,7 @@
         self.is_open = True
         self.step = 0
         self.mixed_count = 0
-        self._experts_count = experts_count
+        self.experts_count = experts_count
         self._sets_count = sets_count
         self._ranks_count = ranks_count
         self.ranks = [
@@ -122,7 +122,7 @@
 
     def first_map(self, rank):
         """Return the experts by set that a rank holds at first."""
-        experts = list(range(rank, self._experts_count, self._ranks_count))
+        experts = list(range(rank, self.experts_count, self._ranks_count))
         return [experts for _ in range(self._sets_count)]
 
     def begin_pass(self):
--- /dev/null
+++ b/tests/test_soak.py
@@ -0,0 +1,170 @@
+"""The soak: a short seeded run, and a judge that misses nothing it is shown."""
+
+import asyncio
+import types
+import unittest
+
+import logbook
+
+from waxwinghold_soak.judge import Call, Judge, World
+from waxwinghold_soak.proxy import Proxy, Trouble
+from waxwinghold_soak.scene import Scene
+from waxwinghold_soak.workers import Arrival, body_of
+
+SEED = 1
+DURATION_S = 4.0
+
+
+class SoakTests(unittest.TestCase):
+    def test_a_short_run_keeps_every_promise(self):
+        handler = logbook.NullHandler()
+        handler.push_application()
+        self.addCleanup(handler.pop_application)
+        scene = Scene(seed=SEED, duration_s=DURATION_S)
+        self.assertEqual(asyncio.run(scene.run()), [])
+        self.assertGreater(len(scene.judge.calls), 100)
+        self.assertGreater(scene.group.ranks[0].version, 0)
+        self.assertTrue(scene.faults)
+
+
+class JudgeTests(unittest.TestCase):
+    def setUp(self):
+        self.worker = types.SimpleNamespace(name="w0", arrivals=[], events_count=3)
+        self.world = World(acknowledged_at={1: 0.0, 2: 0.0})
+        self.judge = Judge(world=self.world, workers=[self.worker])
+        self.gateway = types.SimpleNamespace(name="gateway-0")
+
+    def call(self, **fields):
+        usual = {
+            "request_id": "r-1",
+            "kind": "unsafe",
+            "path": "/unsafe/1",
+            "key": "key-0",
+            "gateway": self.gateway,
+            "incarnation": 1,
+            "sent_at": 10.0,
+            "ended_at": 10.1,
+            "status": 200,
+            "sealed": True,
+            "whole": True,
+            "body": body_of("r-1", "/unsafe/1"),
+            "calm": True,
+        }
+        return Call(**(usual | fields))
+
+    def arrive(self, *, at=10.05, ran=True):
+        arrival = Arrival(request_id="r-1", worker="w0", at=at, ran=ran)
+        self.worker.arrivals.append(arrival)
+
+    def rules(self, *calls):
+        for call in calls:
+            self.judge.take(call)
+        self.judge.finish()
+        return [text.partition(":")[0] for text in self.judge.broken]
+
+    def test_a_good_call_breaks_nothing(self):
+        self.arrive()
+        self.assertEqual(self.rules(self.call()), [])
+
+    def test_what_runs_twice(self):
+        self.arrive()
+        self.arrive()
+        self.assertEqual(self.rules(self.call()), ["TWICE"])
+
+    def test_a_refusal_of_what_ran(self):
+        self.arrive()
+        self.assertEqual(self.rules(self.call(status=503, sealed=False)), ["REFUSED"])
+
+    def test_an_answer_to_another_request(self):
+        body = body_of("r-2", "/unsafe/2")
+        self.assertEqual(self.rules(self.call(body=body)), ["MIXED"])
+
+    def test_a_success_without_the_seal(self):
+        self.assertEqual(self.rules(self.call(sealed=False)), ["MIXED"])
+
+    def test_a_stream_with_a_gap(self):
+        call = self.call(kind="stream", body=b"id: 1\n\nid: 3\n\n")
+        self.assertEqual(self.rules(call), ["ORDER"])
+
+    def test_a_closed_connection_after_the_request_was_passed_on(self):
+        self.arrive()
+        call = self.call(status=None, whole=False)
+        self.assertEqual(self.rules(call), ["LOST"])
+
+    def test_a_denial_of_what_is_allowed(self):
+        self.assertEqual(self.rules(self.call(status=404)), ["DENIED"])
+
+    def test_a_version_that_comes_too_late(self):
+        call = self.call(kind="safe", status=404, version=2)
+        self.assertEqual(self.rules(call), ["CONFIG"])
+
+    def test_a_version_that_goes_back(self):
+        path = "/v2/1"
+        served = self.call(
+            kind="safe", path=path, version=2, body=body_of("r-1", path), calm=False
+        )
+        denied = self.call(kind="safe", status=404, version=1, calm=False, sent_at=11.0)
+        self.assertEqual(self.rules(served, denied), ["CONFIG"])
+
+    def test_a_key_that_was_taken_away(self):
+        self.world.revoked_at["key-0"] = 4.0
+        self.arrive()
+        self.assertEqual(self.rules(self.call(calm=False)), ["REVOKED"])
+
+    def test_a_worker_that_left(self):
+        self.world.leaving_at["w0"] = 6.0
+        self.arrive()
+        self.assertEqual(self.rules(self.call()), ["DRAIN"])
+
+    def test_no_recovery(self):
+        self.judge.take(self.call(status=503, sealed=False))
+        self.judge.check_recovery(since=5.0)
+        self.assertEqual(len(self.judge.broken), 1)
+
+
+class ProxyTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.server = await asyncio.start_server(self._echo, "127.0.0.1", 0)
+        address = self.server.sockets[0].getsockname()[:2]
+        self.proxy = Proxy(name="p", target=address)
+        await self.proxy.start()
+        self.addAsyncCleanup(self.proxy.stop)
+
+    async def _echo(self, reader, writer):
+        while data := await reader.read(100):
+            writer.write(data)
+        writer.close()
+
+    async def _exchange(self, reader, writer):
+        writer.write(b"ping")
+        async with asyncio.timeout(0.2):
+            return await reader.read(100)
+
+    async def test_what_each_trouble_does(self):
+        reader, writer = await asyncio.open_connection(*self.proxy.address)
+        self.addCleanup(writer.close)
+        self.assertEqual(await self._exchange(reader, writer), b"ping")
+        self.proxy.trouble, self.proxy.delay_ms = Trouble.DELAY, 20.0
+        self.assertEqual(await self._exchange(reader, writer), b"ping")
+        for trouble in (Trouble.SILENCE, Trouble.CUT_OUT, Trouble.CUT_BACK):
+            self.proxy.trouble = trouble
+            with self.assertRaises(TimeoutError):
+                await self._exchange(reader, writer)
+        self.proxy.trouble = Trouble.NONE
+        self.assertTrue(await reader.read(100))
+        self.proxy.reset()
+        with self.assertRaises(ConnectionError):
+            while await reader.read(100):
+                pass
+
+    async def test_a_refused_connection_ends(self):
+        self.proxy.trouble = Trouble.REFUSE
+        reader, writer = await asyncio.open_connection(*self.proxy.address)
+        self.addCleanup(writer.close)
+        self.assertEqual(await self._ended(reader), b"")
+
+    async def _ended(self, reader):
+        try:
+            return await reader.read(100)
+        except ConnectionError:
+            return b""
