Move one send out of the module that decides on sends

Cause: attempts.py had 407 lines with two jobs: when to send again, and how one send goes over its connection. No decision changed. Ruled out: a base class (nothing is shared but the request's progress). Before and after: tests.test_gateway_path, test_gateway_exchange and test_platform_names pass (44).

--- a/src/waxwinghold/_gateway/errors.py
+++ b/src/waxwinghold/_gateway/errors.py
@@ -60,6 +60,24 @@
         self.culprit = culprit
 
 
+class FailedAnswerError(SendError):
+    """The target answered that it failed; the caller gets that answer.
+
+    Args:
+        head: The answer's ``AnswerHead``.
+        body: Its whole body.
+    """
+
+    code = "failed_answer"
+    ran = Ran.RAN
+    blames_target = False
+
+    def __init__(self, *, head, body):
+        super().__init__(f"the target answered {head.status}")
+        self.head = head
+        self.body = body
+
+
 class UnconfiguredError(RequestError):
     """This gateway has no configuration yet, or not one that is fresh enough."""
 
--- a/src/waxwinghold/_gateway/front.py
+++ b/src/waxwinghold/_gateway/front.py
@@ -7,8 +7,12 @@
 from aiohttp import web
 
 from .._errors import BodyTooLargeError, RequestError
-from .attempts import FailedAnswerError
-from .errors import BodyTimeoutError, HeadersTooLargeError, SendError
+from .errors import (
+    BodyTimeoutError,
+    FailedAnswerError,
+    HeadersTooLargeError,
+    SendError,
+)
 
 log = logbook.Logger("front")
 
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -9,7 +9,7 @@
 from .._metrics import Metrics
 from .._reload import CHECK_INTERVAL_MS
 from .._settings import split_ip_port
-from .attempts import Admitted, Attempts
+from .attempts import Attempts
 from .budget import budget_policy
 from .choice import seat_policy
 from .errors import CondemnedError, SendError, StoppingError, UnconfiguredError
@@ -22,6 +22,7 @@
 from .published import Published
 from .readers import Readers
 from .seats import Seats
+from .sending import Admitted
 from .suspects import Suspects
 
 log = logbook.Logger("gateway")
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -3,7 +3,7 @@
 import asyncio
 import unittest
 
-from waxwinghold._gateway import attempts
+from waxwinghold._gateway import attempts, sending
 
 from .support.gateway import KEY, GatewayScene, configuration, standard_routes
 
@@ -311,8 +311,8 @@
 
 class LimitTests(unittest.TestCase):
     def test_the_gap_follows_aim_and_pause(self):
-        self.assertLess(attempts.SILENCE_SHARE, attempts.PLACE_SHARE)
-        self.assertLess(attempts.PLACE_SHARE, attempts.LAST_SILENCE_SHARE)
+        self.assertLess(sending.SILENCE_SHARE, attempts.PLACE_SHARE)
+        self.assertLess(attempts.PLACE_SHARE, sending.LAST_SILENCE_SHARE)
 
 
 async def scene_status(scene, path):
