Pass changes of the store on from the gateway that reads them

Ruled out: passing changes on unasked (whoever can send a datagram could then set routes and keys): they come only with an answer that bears the question's nonce. Change: the reader keeps the store's last answers and passes those on that lead from the asker's revision; it reads at most each 200 ms while much changes, the others ask at most each 20 ms. An own answer of the store that was overtaken by passed-on changes is set aside. Tests: tests.test_gateway_readers (bursts; changes each 20 ms without end; gaps; unreadable changes) and tests.test_platform_store.PassedOnTests.

--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -59,6 +59,26 @@
     pace: float
 
 
+class GroupNotice(msgspec.Struct, array_like=True, frozen=True, tag="group"):
+    """All ranks of one group, as the agent that leads it heard of them.
+
+    Args:
+        started_ms: Wall time of the sending agent's start.
+        sequence: Grows by one with each notice.
+        ranks: Of each rank heard lately: its number, how many milliseconds ago
+            it was heard, its running and its waiting requests.
+    """
+
+    format: int
+    started_ms: int
+    sequence: int
+    group: str
+    epoch: int
+    is_open: bool
+    step: int
+    ranks: list[tuple[int, int, int, int]]
+
+
 class CountsNotice(msgspec.Struct, array_like=True, frozen=True, tag="counts"):
     """How often the requests of one rank chose each expert since its start.
 
@@ -97,10 +117,12 @@
 
     Args:
         nonce: Comes back with the answer; nobody else can guess it.
+        at: The store's revision up to which the sender knows everything.
     """
 
     format: int
     nonce: int
+    at: int
 
 
 class FreshNotice(msgspec.Struct, array_like=True, frozen=True, tag="fresh"):
@@ -110,16 +132,25 @@
         echo: The nonce that is answered; 0 for news that nobody asked for.
         at: The store's revision up to which the sender knows everything.
         age_ms: How long ago the sender asked the store for that.
+        changes: The store's answers that lead from the asker's revision to
+            ``at``; empty if the sender no longer has them.
     """
 
     format: int
     echo: int
     at: int
     age_ms: float
+    changes: list[bytes] = []
 
 
 Notice = (
-    GatewayNotice | RankNotice | CountsNotice | OrderNotice | AskNotice | FreshNotice
+    GatewayNotice
+    | RankNotice
+    | GroupNotice
+    | CountsNotice
+    | OrderNotice
+    | AskNotice
+    | FreshNotice
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -11,6 +11,7 @@
 from .._errors import WaxwingError
 from .._gateway.client import KeptClient
 from .._gateway.errors import SendError
+from .._gateway.readers import UnreadableChangesError
 from .entries import read_configuration, read_target
 
 log = logbook.Logger("store")
@@ -115,6 +116,7 @@
         self._clock = clock
         self._published = published
         self._readers = readers
+        readers.take_changes = self.take_changes
         self._client = KeptClient(address=address)
         self._rng = rng or random.Random()
         self._targets = {}
@@ -130,14 +132,25 @@
                 if self._at is None:
                     await self._read_all()
                 else:
-                    await self._watch(wait_ms)
+                    await self._watch(self._at, wait_ms)
             except (StoreError, msgspec.MsgspecError) as error:
                 self._published.note_failure(error)
                 await self._pause(error)
                 continue
             self._failures_count = 0
             self._published.note_answer(asked_ms=asked_ms)
-            self._readers.note_read(self._at)
+
+    def take_changes(self, answer):
+        """Take in a watch's answer that another gateway passed on.
+
+        Raises:
+            UnreadableChangesError: It is no such answer.
+        """
+        try:
+            found = _events_decoder.decode(answer)
+        except msgspec.MsgspecError as error:
+            raise UnreadableChangesError(f"changes passed on: {error}") from error
+        self._take_events(found)
 
     async def _read_all(self):
         """Read configuration and targets from the start."""
@@ -152,9 +165,10 @@
         self._published.take_targets(self._targets.values())
         # Changes since the first page come again with the watch.
         self._at = at
+        self._readers.note_read(at)
 
-    async def _watch(self, wait_ms):
-        query = {"prefix": "", "after": self._at, "wait-ms": int(wait_ms)}
+    async def _watch(self, after, wait_ms):
+        query = {"prefix": "", "after": after, "wait-ms": int(wait_ms)}
         try:
             limit_ms = wait_ms + ANSWER_LIMIT_MS
             body = await read_store(
@@ -164,8 +178,15 @@
             if error.status == HISTORY_GONE:
                 log.info("history of the store is gone", extra={"at": self._at})
                 self._at = None
+                self._readers.forget()
             raise
         found = _events_decoder.decode(body)
+        if after < self._at and found.at <= self._at:
+            return  # Another gateway passed on as much meanwhile, or more.
+        self._take_events(found)
+        self._readers.note_read(self._at, after=after, answer=body)
+
+    def _take_events(self, found):
         changed = False
         for item in found.events:
             if item.key == CONFIGURATION_KEY:
--- a/tests/test_gateway_readers.py
+++ b/tests/test_gateway_readers.py
@@ -8,7 +8,11 @@
 from waxwinghold._clock import Clock
 from waxwinghold._gateway.notices import FORMAT, AskNotice, FreshNotice
 from waxwinghold._gateway.published import Published
-from waxwinghold._gateway.readers import OWN_READ_AGE_MS, Readers
+from waxwinghold._gateway.readers import (
+    OWN_READ_AGE_MS,
+    Readers,
+    UnreadableChangesError,
+)
 from waxwinghold._gateway.seats import Seats
 
 from .map_fakes import run_world
@@ -46,7 +50,7 @@
                     await self._changed.wait()
             except TimeoutError:
                 pass
-        return self.at
+        return self.at, str(self.at).encode()
 
 
 class FakeGateway:
@@ -67,20 +71,27 @@
             send=lambda to, notice: scene.send(ip, to, notice),
             policy=policy,
         )
+        self.readers.take_changes = self.take_changes
 
     async def run(self):
         while True:
             wait_ms = 0 if self.at is None else await self.readers.turn()
-            asked_ms = self.scene.clock.now_ms()
+            asked_ms, after = self.scene.clock.now_ms(), self.at
             try:
-                self.at = await self.scene.store.watch(self.ip, self.at or 0, wait_ms)
+                at, answer = await self.scene.store.watch(self.ip, after or 0, wait_ms)
             except ConnectionError as error:
                 self.published.note_failure(error)
                 await asyncio.sleep(0.3)
                 continue
-            self.known_ms.setdefault(self.at, self.scene.clock.now_ms())
             self.published.note_answer(asked_ms=asked_ms)
-            self.readers.note_read(self.at)
+            self.take_changes(answer)
+            self.readers.note_read(at, after=after, answer=answer)
+
+    def take_changes(self, answer):
+        if not answer.isdigit():
+            raise UnreadableChangesError(answer.decode())
+        self.at = int(answer)
+        self.known_ms.setdefault(self.at, self.scene.clock.now_ms())
 
     def take(self, ip, notice):
         if isinstance(notice, AskNotice):
@@ -97,6 +108,7 @@
         self.clock = Clock(read_ns=lambda: int(self.loop.time() * 1e9))
         self.store = FakeStore()
         self.silent_ips = set()
+        self.sent_count = 0
         self.gateways = {}
         self.tasks = []
         for number in range(count):
@@ -110,6 +122,7 @@
     def send(self, ip, to, notice):
         if ip in self.silent_ips or to in self.silent_ips:
             return
+        self.sent_count += 1
         self.loop.call_later(HOP_MS / 1000, self._deliver, ip, to, notice)
 
     def _deliver(self, ip, to, notice):
@@ -172,23 +185,56 @@
         self.assertLess(calls_count * 10, naive_count)
         self.assertLess(oldest_ms, OWN_READ_AGE_MS)
 
-    def test_a_change_is_read_by_each_gateway_once_and_at_once(self):
-        async def act(scene):
-            scene.start()
-            await scene.sleep_ms(5000)
-            before = scene.store.calls_count
+    async def _change(self, scene, count=1):
+        """Return how long the changes took to everyone, and the calls made."""
+        scene.start()
+        await scene.sleep_ms(5000)
+        before = scene.store.calls_count
+        for _ in range(count):
             scene.store.change()
             changed_ms = scene.clock.now_ms()
-            await scene.sleep_ms(500)
-            took_ms = [
-                gateway.known_ms[scene.store.at] - changed_ms
-                for gateway in scene.gateways.values()
-            ]
-            return max(took_ms), scene.store.calls_count - before
-
-        took_ms, calls_count = play(act)
+            await scene.sleep_ms(20)
+        await scene.sleep_ms(500)
+        took_ms = [
+            gateway.known_ms[scene.store.at] - changed_ms
+            for gateway in scene.gateways.values()
+        ]
+        return max(took_ms), scene.store.calls_count - before
+
+    def test_a_change_reaches_each_gateway_at_once(self):
+        took_ms, calls_count = play(self._change)
         self.assertLess(took_ms, 50)
-        self.assertLessEqual(calls_count, GATEWAYS_COUNT + 2)
+        self.assertLessEqual(calls_count, 3)
+
+    def test_a_burst_of_changes_is_read_by_one_gateway(self):
+        took_ms, calls_count = play(lambda scene: self._change(scene, count=20))
+        _, naive_count = play(
+            lambda scene: self._change(scene, count=20), policy="everyone"
+        )
+        self.assertLess(took_ms, 300)
+        self.assertLess(calls_count * 10, naive_count)
+
+    def test_changes_without_end_come_in_batches(self):
+        """Sixty targets start, and each entry changes at every sign of life."""
+
+        async def act(scene):
+            scene.start()
+            await scene.sleep_ms(2000)
+            sent, calls = scene.sent_count, scene.store.calls_count
+            behind = 0
+            for _ in range(200):
+                scene.store.change()
+                await scene.sleep_ms(20)
+                lags = [scene.store.at - one.at for one in scene.gateways.values()]
+                behind = max(behind, *lags)
+            return scene.sent_count - sent, scene.store.calls_count - calls, behind
+
+        sent_count, calls_count, behind = play(act)
+        # Five batches a second, each told, asked for and answered.
+        batches_count = 4 * 5 + 2
+        self.assertLessEqual(calls_count, batches_count)
+        self.assertLessEqual(sent_count, 3 * batches_count * GATEWAYS_COUNT)
+        self.assertLessEqual(behind * 20, 400)
 
 
 class TroubleTests(ReadersCase):
@@ -300,3 +346,34 @@
             return scene.store.calls_count - before
 
         self.assertLessEqual(play(act, count=2), 3)
+
+    def test_changes_that_do_not_lead_from_our_revision_are_not_passed_on(self):
+        async def act(scene):
+            reader, gateway, sent = self._ask_once(scene)
+            await scene.sleep_ms(1)
+            gateway.readers.note_read(8, after=7, answer=b"8")
+            fresh = FreshNotice(
+                format=FORMAT, echo=sent[0].nonce, at=9, age_ms=0.0, changes=[b"9"]
+            )
+            gateway.take(reader, fresh)
+            for at in (7, 8):
+                gateway.take(reader, AskNotice(format=FORMAT, nonce=5, at=at))
+            return [one for one in sent if isinstance(one, FreshNotice)]
+
+        told = play(act, count=2)
+        self.assertEqual([(one.at, one.changes) for one in told], [(9, []), (9, [])])
+
+    def test_changes_that_cannot_be_read_set_their_sender_aside(self):
+        async def act(scene):
+            reader, gateway, sent = self._ask_once(scene)
+            await scene.sleep_ms(100)
+            fresh = FreshNotice(
+                format=FORMAT, echo=sent[0].nonce, at=9, age_ms=0.0, changes=[b"?"]
+            )
+            gateway.take(reader, fresh)
+            await scene.sleep_ms(200)
+            return gateway.published.age_ms, scene.tasks[0].done()
+
+        age_ms, reads = play(act, count=2)
+        self.assertGreaterEqual(age_ms, 100)
+        self.assertTrue(reads)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -2,15 +2,17 @@
 
 import asyncio
 import unittest
+from unittest import mock
 
 import logbook
 
 from waxwinghold._clock import Clock
+from waxwinghold._gateway.client import KeptClient
 from waxwinghold._gateway.model import Target
 from waxwinghold._gateway.published import Published
-from waxwinghold._gateway.readers import Readers
+from waxwinghold._gateway.readers import Readers, UnreadableChangesError
 from waxwinghold._gateway.seats import Seats
-from waxwinghold.platform.store import StoreWatcher
+from waxwinghold.platform.store import StoreWatcher, read_store
 from waxwinghold_standins.fleet_store import FleetStore, worker_entry
 
 from .support.gateway import FakeClock, configuration
@@ -65,6 +67,49 @@
         return table.configuration.version if table else None
 
 
+class PassedOnTests(WatchCase):
+    """Answers of the store that another gateway passes on."""
+
+    async def read_once(self):
+        self.list_worker("i-1")
+        self.start()
+        await self.until(lambda: self.names() == {"i-1"})
+
+    async def answer(self, after):
+        client = KeptClient(address=self.store.address)
+        self.addCleanup(client.close)
+        query = {"prefix": "", "after": after, "wait-ms": 0}
+        return await read_store(client, "/v1/kv-watch", limit_ms=1000, **query)
+
+    async def test_they_count_like_own_ones(self):
+        await self.read_once()
+        self.list_worker("i-2")
+        self.watcher.take_changes(await self.answer(1))
+        self.assertEqual(self.names(), {"i-1", "i-2"})
+
+    async def test_an_own_answer_that_was_overtaken_changes_nothing(self):
+        await self.read_once()
+        self.list_worker("i-2")
+        older = await self.answer(1)
+        self.store.delete("servers/i-2")
+        newer = await self.answer(1)
+
+        async def late_answer(*args, **query):
+            self.watcher.take_changes(newer)
+            return older
+
+        with mock.patch("waxwinghold.platform.store.read_store", late_answer):
+            await self.watcher._watch(1, 0)
+        self.assertEqual(self.names(), {"i-1"})
+
+    async def test_bytes_that_are_no_answer_are_refused(self):
+        await self.read_once()
+        for answer in (b"", b"{}", b'{"events": 1, "at": 2}', b"\xff"):
+            with self.assertRaises(UnreadableChangesError):
+                self.watcher.take_changes(answer)
+        self.assertEqual(self.names(), {"i-1"})
+
+
 class WatchTests(WatchCase):
     async def test_all_pages_are_read(self):
         for number in range(7):
