Tell many gateways of a group in one notice, and split the agent by jobs

Ruled out: fewer notices of the same kind (the counts would be older). Change: for more than 12 gateways the agent that leads a group tells of all its ranks in one notice, with the age of each; an agent tells for itself while its leader is silent and at once when its group closes or is formed anew. A gateway's notice has counts only of targets whose agents are silent, and five members. Greetings are as far apart as the fleet is large; an agent reads the list of workers only while a rank is unknown. Tests: tests.test_ranks_telling counts the notices of 32 ranks and 39 gateways and replays a leader that falls silent; tests.test_gateway_seats.GroupNoticeTests.

--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import random
 
 import logbook
 import msgspec
@@ -13,6 +14,7 @@
     FORMAT,
     LIMIT_BYTES,
     GatewayNotice,
+    GroupNotice,
     RankNotice,
     decoder,
     encoder,
@@ -25,6 +27,8 @@
 QUIET_INTERVALS_COUNT = 4  # Unchanged counts are repeated this much less often.
 SILENCE_INTERVALS_COUNT = 16  # Four repetitions may be lost.
 GREETING_INTERVAL_MS = 1000.0  # Agents forget a gateway after some seconds.
+GREETING_INTERVAL_PER_PEER_MS = 50.0  # As for notices.
+MEMBERS_COUNT = 5  # Of those heard; others learn of all within some notices.
 
 
 class Peer:
@@ -60,7 +64,10 @@
         self._last_counts = None
         self._quiet_rounds_count = 0
         self.malformed_count = 0
-        self.handlers = {RankNotice: lambda ip, notice: seats.take_rank(notice)}
+        self.handlers = {
+            RankNotice: lambda ip, notice: seats.take_rank(notice),
+            GroupNotice: lambda ip, notice: seats.take_group(notice),
+        }
 
     @property
     def _seeds(self):
@@ -151,11 +158,18 @@
             NOTICE_INTERVAL_MS, NOTICE_INTERVAL_PER_PEER_MS * self.gateways_count
         )
 
+    def _greeting_interval_ms(self):
+        return max(
+            GREETING_INTERVAL_MS, GREETING_INTERVAL_PER_PEER_MS * self.gateways_count
+        )
+
     def _send_notices(self):
+        now_ms = self._clock.now_ms()
+        # What an agent tells of its rank is newer than what gateways could.
         counts = {
             seat.target.name: seat.in_flight_count
             for seat in self._seats
-            if seat.in_flight_count
+            if seat.in_flight_count and not seat.told(now_ms=now_ms)
         }
         state = (counts, self._waiting())
         self._quiet_rounds_count += 1
@@ -174,7 +188,7 @@
             data_centre=self.settings.data_centre,
             started_ms=self._started_ms,
             sequence=self._sequence,
-            members=heard,
+            members=random.sample(heard, min(MEMBERS_COUNT, len(heard))),
             counts=counts,
             waiting=state[1],
         )
@@ -183,8 +197,7 @@
             log.warn("notice too large", extra={"bytes": len(data)})
             return
         receivers = self._seeds | self._peers.keys()
-        now_ms = self._clock.now_ms()
-        if now_ms - self._greeted_ms >= GREETING_INTERVAL_MS:
+        if now_ms - self._greeted_ms >= self._greeting_interval_ms():
             self._greeted_ms = now_ms
             receivers |= self._agents(unheard_only=False)
         else:
--- a/src/waxwinghold/_gateway/seats.py
+++ b/src/waxwinghold/_gateway/seats.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 import logbook
+import msgspec
 
 from .model import TargetState
 from .pool import ConnectionPool
@@ -80,13 +81,17 @@
         The word of the agent beside a rank is newer than the counts of the
         other gateways; this gateway's own requests since then are added.
         """
-        if self.rank is None or now_ms - self.rank_heard_ms > COUNT_TRUST_MS:
+        if not self.told(now_ms=now_ms):
             return self.in_flight_count + self.others_count
         told_count = self.rank.running_count + self.rank.waiting_count
         self._forget_moves(self.rank_heard_ms - IN_TRANSIT_MS)
         told_count += sum(change for _, change in self._moves)
         return max(self.in_flight_count, told_count)
 
+    def told(self, *, now_ms):
+        """Return whether the rank's own word on what it holds is recent."""
+        return self.rank is not None and now_ms - self.rank_heard_ms <= COUNT_TRUST_MS
+
     def free_count(self, *, now_ms):
         """Return the places that are believed free; negative when overfull."""
         held = self.held_count(now_ms=now_ms)
@@ -121,12 +126,34 @@
             order = (known.started_ms, known.sequence)
             if (notice.started_ms, notice.sequence) <= order:
                 return False
+        return self._put_rank(notice, heard_ms=now_ms, now_ms=now_ms)
+
+    def take_group(self, notice, part, *, now_ms):
+        """Take in what the leader of the rank's group says; say if it is news.
+
+        Args:
+            part: What the ``GroupNotice`` says of this rank.
+        """
+        _, age_ms, running_count, waiting_count = part
+        if now_ms - age_ms <= self.rank_heard_ms:
+            return False
+        rank = msgspec.structs.replace(
+            self.rank,
+            is_open=notice.is_open,
+            step=notice.step,
+            running_count=running_count,
+            waiting_count=waiting_count,
+        )
+        return self._put_rank(rank, heard_ms=now_ms - age_ms, now_ms=now_ms)
+
+    def _put_rank(self, notice, *, heard_ms, now_ms):
+        known = self.rank
         stalled = self.stalled(now_ms)
         if known is None or known.running_count == 0 or known.step != notice.step:
             self.stepped_ms = now_ms
         self.rank = notice
-        self.rank_heard_ms = now_ms
-        self._forget_moves(now_ms - IN_TRANSIT_MS)
+        self.rank_heard_ms = heard_ms
+        self._forget_moves(heard_ms - IN_TRANSIT_MS)
         return stalled != self.stalled(now_ms)
 
     def note_success(self):
@@ -175,6 +202,8 @@
         self.listeners = []
         self.grouped_services = frozenset()
         self._paces = {}
+        self._group_orders = {}
+        self._stalled_groups = {}
 
     def __iter__(self):
         return iter(self._seats.values())
@@ -227,17 +256,45 @@
         if notice.pace != (seat.rank.pace if seat.rank else 1.0):
             self._learn_pace(notice)
         if seat.take_rank(notice, now_ms=now_ms):
-            log.info(
-                "group stalls" if seat.stalled(now_ms) else "group makes steps",
-                extra={
-                    "target": seat.target.name,
-                    "group": notice.group,
-                    "open": notice.is_open,
-                    "step": notice.step,
-                },
-            )
+            self._log_stall(seat, now_ms)
             self.changed()
 
+    def take_group(self, notice):
+        """Take in what the agent that leads a group says of its ranks."""
+        order = (notice.started_ms, notice.sequence)
+        if order <= self._group_orders.get(notice.group, (0, 0)):
+            return
+        self._group_orders[notice.group] = order
+        parts = {part[0]: part for part in notice.ranks}
+        now_ms = self._clock.now_ms()
+        news = False
+        for seat in self._seats.values():
+            rank = seat.rank
+            if rank is None or (rank.group, rank.epoch) != (notice.group, notice.epoch):
+                continue
+            part = parts.get(rank.rank)
+            if part is not None and seat.take_group(notice, part, now_ms=now_ms):
+                self._log_stall(seat, now_ms)
+                news = True
+        if news:
+            self.changed()
+
+    def _log_stall(self, seat, now_ms):
+        """Log that a group stalls or goes on, once for all of its ranks."""
+        stalled = seat.stalled(now_ms)
+        if self._stalled_groups.get(seat.rank.group, False) == stalled:
+            return
+        self._stalled_groups[seat.rank.group] = stalled
+        log.info(
+            "group stalls" if stalled else "group makes steps",
+            extra={
+                "target": seat.target.name,
+                "group": seat.rank.group,
+                "open": seat.rank.is_open,
+                "step": seat.rank.step,
+            },
+        )
+
     def _learn_pace(self, notice):
         paces = [
             seat.rank.pace
--- /dev/null
+++ b/src/waxwinghold/_ranks/desk.py
@@ -0,0 +1,93 @@
+"""Orders on their way: to the rank on this machine, to other agents, from afar."""
+
+import asyncio
+
+import logbook
+
+from .._gateway.errors import SendError
+from .._gateway.notices import FORMAT, OrderNotice, encoder
+from .model import Order, OrderKind
+
+log = logbook.Logger("orders")
+
+
+class OrderDesk:
+    """Passes on the orders of one agent and carries out those given to it.
+
+    Args:
+        port: The ``RankPort`` of the rank on this machine.
+        view: The ``GroupView``.
+        far: The ``FarRanks``.
+        send: ``send(ip, data)``; datagrams may be lost.
+        spawn: Starts a task that ends with the agent.
+        accepted: Awaited after the rank accepted an order.
+    """
+
+    def __init__(self, *, port, view, far, send, spawn, accepted):
+        self._port = port
+        self._view = view
+        self._far = far
+        self._send = send
+        self._spawn = spawn
+        self._accepted = accepted
+        self._orders = asyncio.Queue()
+        self._queued = set()
+
+    def take(self, notice):
+        """Queue an order unless the same one waits already."""
+        if notice.kind not in {kind.value for kind in OrderKind}:
+            log.warn("unknown order", extra={"kind": notice.kind[:40]})
+            return
+        key = (notice.kind, notice.epoch, notice.orders_count, notice.step)
+        if key not in self._queued:
+            self._queued.add(key)
+            self._orders.put_nowait((key, notice))
+
+    def send(self, rank, order):
+        """Send an order of this leader to the agent of ``rank``."""
+        if self._far.is_far(rank):
+            self._spawn(self._far.give(self._view.address(rank), order))
+            return
+        notice = OrderNotice(
+            format=FORMAT,
+            group=self._view.name,
+            epoch=order.epoch,
+            kind=order.kind.value,
+            orders_count=order.orders_count,
+            token=order.token,
+            step=order.step,
+            version=order.version,
+            ranks_by_set=order.ranks_by_set,
+        )
+        if rank == self._view.own_rank:
+            self.take(notice)
+            return
+        ip = self._view.address(rank).rpartition(":")[0]
+        self._send(ip, encoder.encode(notice))
+
+    async def run(self):
+        """Pass orders on to the rank on this machine, one after another."""
+        while True:
+            key, notice = await self._orders.get()
+            self._queued.discard(key)
+            if (notice.group, notice.epoch) == (self._view.name, self._view.epoch):
+                await self._give(notice)
+
+    async def _give(self, notice):
+        order = Order(
+            kind=OrderKind(notice.kind),
+            epoch=notice.epoch,
+            orders_count=notice.orders_count,
+            token=notice.token,
+            step=notice.step,
+            version=notice.version,
+            ranks_by_set=notice.ranks_by_set,
+        )
+        try:
+            accepted = await self._port.give(order)
+        except SendError as error:
+            details = {"kind": notice.kind, "reason": str(error)}
+            log.info("order unanswered", extra=details)
+            return
+        if accepted:
+            await self._accepted()
--- a/src/waxwinghold/_ranks/view.py
+++ b/src/waxwinghold/_ranks/view.py
@@ -9,6 +9,8 @@
     Attributes:
         name: The group's name, or ``None`` before the first notice.
         epoch: The epoch of the agent's own rank.
+        own_rank: The number of that rank, or ``None``.
+        size: How many ranks the group has.
     """
 
     def __init__(self, *, clock):
@@ -18,6 +20,7 @@
         self._told_ms = {}
         self.name = None
         self.epoch = None
+        self.own_rank = None
         self.size = 0
 
     def own(self, notice):
@@ -30,6 +33,7 @@
                 if (one.group, one.epoch) == (self.name, self.epoch)
             }
         self.size = notice.size
+        self.own_rank = notice.rank
         self.take(notice)
 
     def take(self, notice):
@@ -55,8 +59,11 @@
 
     def agent_silent(self, rank, *, limit_ms):
         """Return whether the agent beside ``rank`` sent nothing for ``limit_ms``."""
-        told_ms = self._told_ms.get(rank, float("-inf"))
-        return self._clock.now_ms() - told_ms > limit_ms
+        return self.told_age_ms(rank) > limit_ms
+
+    def told_age_ms(self, rank):
+        """Return how long ago the agent beside ``rank`` sent its last notice."""
+        return self._clock.now_ms() - self._told_ms.get(rank, float("-inf"))
 
     def notices(self):
         """Return the latest notice by rank."""
--- a/tests/test_gateway_seats.py
+++ b/tests/test_gateway_seats.py
@@ -5,7 +5,7 @@
 
 from waxwinghold._gateway.choice import seat_policy
 from waxwinghold._gateway.model import Target, TargetState
-from waxwinghold._gateway.notices import FORMAT, RankNotice
+from waxwinghold._gateway.notices import FORMAT, GroupNotice, RankNotice
 from waxwinghold._gateway.seats import Seats
 
 from .support.gateway import FakeClock
@@ -339,3 +339,58 @@
         self.assertEqual(seat.held_count(now_ms=clock.now_ms()), 1)
         clock.time_ms += 600
         self.assertEqual(seat.held_count(now_ms=clock.now_ms()), 4)
+
+
+class GroupNoticeTests(SeatCase):
+    """One notice of the leader tells of every rank of its group."""
+
+    def setUp(self):
+        super().setUp()
+        for number in range(2):
+            self.seats.take_rank(rank_notice(number, running=1))
+        self.clock.time_ms += 200
+
+    def tell(self, *, sequence=1, epoch=1, ranks, step=11, is_open=True):
+        self.seats.take_group(
+            GroupNotice(
+                format=FORMAT,
+                started_ms=1,
+                sequence=sequence,
+                group="g",
+                epoch=epoch,
+                is_open=is_open,
+                step=step,
+                ranks=ranks,
+            )
+        )
+
+    def held(self):
+        now_ms = self.clock.now_ms()
+        return [self.seats.get(name).held_count(now_ms=now_ms) for name in ("w0", "w1")]
+
+    def test_it_tells_what_each_rank_holds(self):
+        self.tell(ranks=[(0, 20, 3, 1), (1, 40, 2, 0)])
+        self.assertEqual(self.held(), [4, 2])
+
+    def test_what_it_heard_before_the_ranks_own_word_changes_nothing(self):
+        self.tell(ranks=[(0, 250, 5, 0), (1, 40, 2, 0)])
+        self.assertEqual(self.held(), [1, 2])
+
+    def test_a_late_or_doubled_one_and_one_of_another_epoch_change_nothing(self):
+        self.tell(sequence=2, ranks=[(0, 0, 2, 0), (1, 0, 2, 0)])
+        self.clock.time_ms += 100
+        self.tell(sequence=2, ranks=[(0, 0, 5, 0)])
+        self.tell(sequence=1, ranks=[(0, 0, 5, 0)])
+        self.tell(sequence=3, epoch=2, ranks=[(0, 0, 5, 0)])
+        self.assertEqual(self.held(), [2, 2])
+
+    def test_a_group_that_is_not_open_gets_nothing(self):
+        self.tell(ranks=[(0, 0, 1, 0), (1, 0, 1, 0)], is_open=False)
+        self.assertIsNone(self.choose())
+
+    def test_a_rank_that_it_leaves_out_is_believed_less_and_less(self):
+        self.seats.get("w1").others_count = 4
+        for sequence in range(5):
+            self.clock.time_ms += 100
+            self.tell(sequence=sequence + 1, step=20 + sequence, ranks=[(0, 0, 1, 0)])
+        self.assertEqual(self.held(), [1, 4])
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -190,9 +190,9 @@
         self.ports[3].report = form_anew
         order = Order(kind=OrderKind.GO, epoch=1, orders_count=0, token=1, step=5)
         for rank in (2, 3):
-            await agent._read_far(rank, known[rank])
-            await agent._give_far(known[rank].address, order)
-        self.assertEqual(len(agent._tasks), 6)
+            await agent.far.read(rank, known[rank])
+            await agent.far.give(known[rank].address, order)
+        self.assertEqual(len(agent._tasks), 7)
 
     async def test_garbage_does_not_stop_an_agent(self):
         await asyncio.sleep(0.2)
--- /dev/null
+++ b/tests/test_ranks_telling.py
@@ -0,0 +1,150 @@
+"""Whom an agent tells what: notices grow with ranks plus gateways, not times them."""
+
+import unittest
+
+from waxwinghold._gateway.notices import GroupNotice, RankNotice, decoder
+from waxwinghold._ranks.model import RankReport
+from waxwinghold._ranks.settings import RankSettings
+from waxwinghold._ranks.telling import (
+    DIRECT_GATEWAYS_COUNT,
+    GROUP_INTERVAL_MS,
+    LEADER_SILENCE_MS,
+    REPORT_INTERVAL_MS,
+    Teller,
+)
+from waxwinghold._ranks.view import GroupView
+
+from .support.gateway import FakeClock
+
+RANKS_COUNT = 32
+GATEWAYS_COUNT = 39
+STEP_MS = 25
+
+
+def report(rank, *, epoch=1, step=1, is_open=True):
+    return RankReport(
+        born_ms=1,
+        group="g",
+        epoch=epoch,
+        rank=rank,
+        size=RANKS_COUNT,
+        is_open=is_open,
+        step=step,
+        map_version=0,
+        prepared=None,
+        armed=None,
+        held=None,
+        orders_count=0,
+        running_count=rank % 5,
+        waiting_count=0,
+    )
+
+
+class Agents:
+    """The tellers of a group, and what they sent to gateways and agents."""
+
+    def __init__(self, *, gateways_count):
+        self.clock = FakeClock()
+        self.to_gateways = []
+        self.to_agents_count = 0
+        self.dead_ips = set()
+        self.tellers = {}
+        self.views = {}
+        self.gateway_ips = [f"10.1.0.{number}" for number in range(gateways_count)]
+        for rank in range(RANKS_COUNT):
+            self._start(rank)
+
+    def _start(self, rank):
+        ip = f"10.0.0.{rank}"
+        settings = RankSettings(
+            name=ip,
+            data_centre="dc-a",
+            target_address=f"{ip}:80",
+            service="models",
+            store_address="10.9.9.9:1",
+            peers_ip=ip,
+            peers_port=1,
+        )
+        view = self.views[ip] = GroupView(clock=self.clock)
+        teller = self.tellers[ip] = Teller(
+            clock=self.clock,
+            settings=settings,
+            view=view,
+            send=lambda to, data: self._deliver(ip, to, data),
+            started_ms=1,
+        )
+        others = {f"10.0.0.{number}" for number in range(RANKS_COUNT)} - {ip}
+        teller.rank_ips = others
+
+    def _deliver(self, ip, to, data):
+        notice = decoder.decode(data)
+        if to in self.gateway_ips:
+            self.to_gateways.append((ip, to, notice))
+        elif to not in self.dead_ips:
+            self.to_agents_count += 1
+            self.views[to].take(notice)
+
+    def run(self, duration_ms, **fields):
+        for elapsed_ms in range(0, duration_ms, STEP_MS):
+            self.clock.time_ms += STEP_MS
+            for ip, teller in self.tellers.items():
+                if ip in self.dead_ips:
+                    continue
+                for gateway_ip in self.gateway_ips:
+                    teller.note_gateway(gateway_ip)
+                if elapsed_ms % REPORT_INTERVAL_MS == 0:
+                    rank = int(ip.rpartition(".")[2])
+                    teller.tell(report(rank, **fields))
+                if elapsed_ms % GROUP_INTERVAL_MS == 0:
+                    teller.tell_group()
+
+
+class TellingTests(unittest.TestCase):
+    def test_many_gateways_are_told_by_the_leader(self):
+        agents = Agents(gateways_count=GATEWAYS_COUNT)
+        agents.run(3000)
+        agents.to_gateways.clear()
+        agents.run(9000)
+        kinds = [type(notice) for _, _, notice in agents.to_gateways]
+        group_count = 9000 / GROUP_INTERVAL_MS * GATEWAYS_COUNT
+        self.assertEqual(kinds.count(GroupNotice), group_count)
+        # Each rank's own word only as a greeting, every few seconds.
+        self.assertLessEqual(kinds.count(RankNotice), 4 * RANKS_COUNT * GATEWAYS_COUNT)
+        notice = [one for _, _, one in agents.to_gateways if type(one) is GroupNotice][
+            -1
+        ]
+        self.assertEqual(
+            [part[2] for part in sorted(notice.ranks)][:6], [0, 1, 2, 3, 4, 0]
+        )
+
+    def test_few_gateways_are_told_by_each_rank(self):
+        agents = Agents(gateways_count=DIRECT_GATEWAYS_COUNT)
+        agents.run(3000)
+        agents.to_gateways.clear()
+        agents.run(3000)
+        kinds = {type(notice) for _, _, notice in agents.to_gateways}
+        self.assertEqual(kinds, {RankNotice})
+        told = [to for ip, to, _ in agents.to_gateways if ip == "10.0.0.7"]
+        expected_count = 3000 / REPORT_INTERVAL_MS * DIRECT_GATEWAYS_COUNT
+        self.assertGreaterEqual(len(told), expected_count)
+
+    def test_every_rank_tells_for_itself_once_the_leader_is_silent(self):
+        agents = Agents(gateways_count=GATEWAYS_COUNT)
+        agents.run(3000)
+        agents.dead_ips.add("10.0.0.0")
+        agents.run(int(LEADER_SILENCE_MS + REPORT_INTERVAL_MS))
+        agents.to_gateways.clear()
+        agents.run(600)
+        senders = {ip for ip, _, _ in agents.to_gateways}
+        self.assertEqual(senders, set(agents.tellers) - agents.dead_ips)
+
+    def test_a_group_that_closes_or_is_formed_anew_is_told_at_once(self):
+        agents = Agents(gateways_count=GATEWAYS_COUNT)
+        agents.run(3000)
+        for fields in ({"is_open": False}, {"epoch": 2}):
+            agents.to_gateways.clear()
+            agents.run(STEP_MS, **fields)
+            senders = {
+                ip for ip, _, one in agents.to_gateways if type(one) is RankNotice
+            }
+            self.assertEqual(senders, set(agents.tellers))
