--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -7,6 +7,9 @@
 
 from .support.gateway import KEY, GatewayScene, configuration, standard_routes
 
+TIMEOUT_MS = 400
+RECOVERY_S = 12.0  # The bound of recovery of the first site.
+
 
 class PathCase(unittest.IsolatedAsyncioTestCase):
     async def scene(self, *behaviours, **settings):
@@ -309,6 +312,65 @@
         writer.close()
 
 
+class TimeoutTests(PathCase):
+    async def _time_out(self, path, method):
+        """Return the answer's status and how long it took in milliseconds."""
+        scene = await self.scene("silent", "silent")
+        routes = [{**route, "timeout-ms": TIMEOUT_MS} for route in standard_routes()]
+        scene.store.put("op/config", configuration(version=2, routes=routes))
+        async with asyncio.timeout(2):
+            while scene.gateway.published.table.configuration.version != 2:
+                await asyncio.sleep(0.01)
+        loop = asyncio.get_running_loop()
+        started = loop.time()
+        status, _, _ = await scene.call(path, method=method)
+        return status, (loop.time() - started) * 1000
+
+    async def test_a_route_s_time_out_ends_what_has_no_deadline(self):
+        for path, method in (("/safe/a", "GET"), ("/unsafe/a", "POST")):
+            with self.subTest(path=path):
+                status, took_ms = await self._time_out(path, method)
+                self.assertEqual(status, 504)
+                # The bound of the rule: half a second past the time-out.
+                self.assertLess(took_ms, TIMEOUT_MS + 500)
+
+
+class RecoveryTests(PathCase):
+    """Everything ends at once and comes back knowing nothing."""
+
+    async def test_a_fleet_that_starts_anew_serves_again(self):
+        scene = await self.scene("whole", "whole")
+        self.assertEqual((await scene.call("/safe/a"))[0], 200)
+        await scene.stop_gateway()
+        for worker in scene.workers:
+            await worker.stop()
+            scene.store.delete(f"servers/{worker.name}")
+            worker.name += "-again"
+            await worker.start()
+            scene.list_worker(worker)
+        scene.store.forget_history()
+        scene.start_gateway()
+        await scene.wait_ready()
+        status, _, body = await scene.call("/safe/b")
+        self.assertEqual(status, 200)
+        self.assertIn(body, {worker.body for worker in scene.workers})
+
+    async def test_targets_and_store_that_come_back_later_are_found(self):
+        scene = await self.scene("whole")
+        worker = scene.workers[0]
+        scene.store.trouble = "reset"
+        await worker.stop()
+        self.assertIn((await scene.call("/safe/a"))[0], (502, 503, 504))
+        worker.name += "-again"
+        await worker.start()
+        scene.store.trouble = ""
+        scene.store.delete("servers/w0")
+        scene.list_worker(worker)
+        async with asyncio.timeout(RECOVERY_S):
+            while (await scene.call("/safe/a"))[0] != 200:
+                await asyncio.sleep(0.05)
+
+
 class LimitTests(unittest.TestCase):
     def test_the_gap_follows_aim_and_pause(self):
         self.assertLess(sending.SILENCE_SHARE, attempts.PLACE_SHARE)
