Give agents a metrics address

Ruled out: prometheus_client (4 MB an agent), aiohttp (8 MB). Before: no address. After: tests.test_ranks_agent reads it, and sends it other questions, garbage and heads that are too long.

--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -21,6 +21,7 @@
 from .desk import OrderDesk
 from .far import FarRanks
 from .leader import Leader
+from .metrics import AgentMetrics
 from .telling import GREETING_INTERVAL_MS, GROUP_INTERVAL_MS, REPORT_INTERVAL_MS, Teller
 from .view import GroupView
 
@@ -54,6 +55,7 @@
         self._report = None
         self._stop = asyncio.Event()
         self._tasks = set()
+        self.metrics = AgentMetrics(gauges=self._gauges)
         started_ms = clock.wall_ms()
         self.view = GroupView(clock=clock)
         self._teller = Teller(
@@ -83,9 +85,14 @@
             send=self._send,
             spawn=self._spawn,
             accepted=self._report_now,
+            count=self.metrics.count,
         )
         self._balancing = Balancing(
-            clock=clock, view=self.view, leader=self.leader, policy=settings.map_policy
+            clock=clock,
+            view=self.view,
+            leader=self.leader,
+            policy=settings.map_policy,
+            count=self.metrics.count,
         )
         self._handlers = {
             RankNotice: self.view.take,
@@ -101,6 +108,10 @@
         loop.add_signal_handler(signal.SIGHUP, _reload)
         address = (self._settings.peers_ip, self._settings.peers_port)
         await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        if self._settings.metrics_port:
+            await self.metrics.serve(
+                self._settings.peers_ip, self._settings.metrics_port
+            )
         for coroutine in (
             self._keep_directory(),
             self._keep_reporting(),
@@ -122,6 +133,7 @@
             task.cancel()
         if self._transport is not None:
             self._transport.close()
+        self.metrics.close()
 
     def connection_made(self, transport):
         self._transport = transport
@@ -133,6 +145,7 @@
         try:
             notice = decoder.decode(data)
         except (msgspec.DecodeError, msgspec.ValidationError) as error:
+            self.metrics.count("malformed_notices")
             log.warn("malformed notice", extra={"reason": str(error)})
             return
         if notice.format != FORMAT:
@@ -145,6 +158,20 @@
     def _send(self, ip, data):
         self._transport.sendto(data, (ip, self._settings.peers_port))
 
+    def _gauges(self):
+        report = self._report
+        if report is None:
+            return {}
+        return {
+            "rank": report.rank,
+            "epoch": report.epoch,
+            "open": int(report.is_open),
+            "step": report.step,
+            "map_version": report.map_version,
+            "running": report.running_count,
+            "waiting": report.waiting_count,
+        }
+
     def _is_leader(self):
         return self.view.own_rank == 0
 
@@ -189,6 +216,7 @@
             try:
                 report = await self._port.report()
             except SendError as error:
+                self.metrics.count("failed_reports")
                 log.debug("rank does not report", extra={"reason": str(error)})
                 await self._clock.sleep_ms(CALL_RETRY_MS)
                 continue
--- a/src/waxwinghold/_ranks/balancing.py
+++ b/src/waxwinghold/_ranks/balancing.py
@@ -30,12 +30,14 @@
         view: The ``GroupView``.
         leader: The ``Leader`` that carries changes out.
         policy: Name of the planner.
+        count: Counts an event by name.
     """
 
-    def __init__(self, *, clock, view, leader, policy):
+    def __init__(self, *, clock, view, leader, policy, count):
         self._clock = clock
         self._view = view
         self._leader = leader
+        self._count = count
         self._policy = map_policy.make(policy)
         self._demand = RecentDemand()
         self._held = {}
@@ -76,6 +78,7 @@
                 elif is_deputy() and self._leader.is_unfinished():
                     await self._leader.finish()
             except GroupChangedError as error:
+                self._count("abandoned_changes")
                 log.info("change abandoned", extra={"reason": str(error)})
 
     async def _look(self):
@@ -88,6 +91,7 @@
             return
         started_ms = self._clock.now_ms()
         done = await self._leader.change(plan)
+        self._count("changes" if done else "unprepared_changes")
         log.info(
             "map change ended",
             extra={"done": done, "took_ms": round(self._clock.now_ms() - started_ms)},
--- a/src/waxwinghold/_ranks/desk.py
+++ b/src/waxwinghold/_ranks/desk.py
@@ -21,15 +21,17 @@
         send: ``send(ip, data)``; datagrams may be lost.
         spawn: Starts a task that ends with the agent.
         accepted: Awaited after the rank accepted an order.
+        count: Counts an event by name.
     """
 
-    def __init__(self, *, port, view, far, send, spawn, accepted):
+    def __init__(self, *, port, view, far, send, spawn, accepted, count):
         self._port = port
         self._view = view
         self._far = far
         self._send = send
         self._spawn = spawn
         self._accepted = accepted
+        self._count = count
         self._orders = asyncio.Queue()
         self._queued = set()
 
@@ -86,8 +88,10 @@
         try:
             accepted = await self._port.give(order)
         except SendError as error:
+            self._count("unanswered_orders")
             details = {"kind": notice.kind, "reason": str(error)}
             log.info("order unanswered", extra=details)
             return
+        self._count("accepted_orders" if accepted else "refused_orders")
         if accepted:
             await self._accepted()
--- a/src/waxwinghold/_ranks/settings.py
+++ b/src/waxwinghold/_ranks/settings.py
@@ -18,6 +18,7 @@
         seeds: ``IP:PORT`` of some gateways; the port is of no use here.
         map_policy: Which planner of expert maps is used.
         log_level: A level name of logbook.
+        metrics_port: Where metrics are read over HTTP; 0 for nowhere.
     """
 
     name: str
@@ -30,3 +31,4 @@
     seeds: tuple[str, ...] = ()
     map_policy: str = "few_moves"
     log_level: str = "INFO"
+    metrics_port: int = 0
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -93,6 +93,7 @@
         )
         self.ports = [StandinPort(rank=rank) for rank in self.group.ranks]
         self.udp_port = free_port(socket.SOCK_DGRAM)
+        self.metrics_port = free_port()
         self.agents = [self.agent(rank) for rank in range(RANKS_COUNT)]
         self.tasks = [asyncio.create_task(agent.run()) for agent in self.agents]
         self.tasks.append(asyncio.create_task(self.passes()))
@@ -107,6 +108,7 @@
             store_address="127.0.0.1:1",
             peers_ip=agent_ip(rank),
             peers_port=self.udp_port,
+            metrics_port=self.metrics_port if rank == 0 else 0,
         )
         by_ip = {agent_ip(number): port for number, port in enumerate(self.ports)}
         return RankAgent(
@@ -194,6 +196,30 @@
             await agent.far.give(known[rank].address, order)
         self.assertEqual(len(agent._tasks), 7)
 
+    async def ask_metrics(self, head):
+        reader, writer = await asyncio.open_connection(agent_ip(0), self.metrics_port)
+        writer.write(head)
+        async with asyncio.timeout(3):
+            answer = await reader.read()
+        writer.close()
+        return answer.decode()
+
+    async def test_metrics_tell_of_orders_and_changes(self):
+        await self.until_changed()
+        await asyncio.sleep(0.3)
+        answer = await self.ask_metrics(b"GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n")
+        self.assertIn("200 OK", answer)
+        self.assertRegex(answer, r"waxwinghold_agent_changes_total [1-9]")
+        self.assertIn("waxwinghold_agent_rank 0\n", answer)
+
+    async def test_other_questions_and_garbage_get_no_metrics(self):
+        await asyncio.sleep(0.2)
+        answer = await self.ask_metrics(b"GET /x HTTP/1.1\r\n\r\n")
+        self.assertIn("404", answer)
+        for garbage in (b"\r\n\r\n", b"x" * 9000):
+            self.assertNotIn("waxwinghold", await self.ask_metrics(garbage))
+        await self.until_changed()
+
     async def test_garbage_does_not_stop_an_agent(self):
         await asyncio.sleep(0.2)
         with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as sock:
