--- a/src/waxwinghold_soak/__main__.py
+++ b/src/waxwinghold_soak/__main__.py
@@ -13,8 +13,8 @@
 DURATION_S = 15.0
 
 
-async def _play(seed, duration_s):
-    scene = Scene(seed=seed, duration_s=duration_s)
+async def _play(seed, duration_s, settings):
+    scene = Scene(seed=seed, duration_s=duration_s, settings=settings)
     started = time.monotonic()
     broken = await scene.run()
     took_s = time.monotonic() - started
@@ -48,10 +48,14 @@
 class Soak:
     """Runs the fault soak."""
 
-    def run(self, seed, duration_s=DURATION_S):
-        """Play one seed; the exit status is 1 if a promise was broken."""
+    def run(self, seed, duration_s=DURATION_S, **settings):
+        """Play one seed; the exit status is 1 if a promise was broken.
+
+        Args:
+            settings: Settings of every gateway; wrong ones show what breaks.
+        """
         logbook.NullHandler().push_application()
-        sys.exit(0 if asyncio.run(_play(seed, duration_s)) else 1)
+        sys.exit(0 if asyncio.run(_play(seed, duration_s, settings)) else 1)
 
     def many(self, first=None, count=10, duration_s=DURATION_S, jobs=2):
         """Play seeds in turn, fresh ones unless ``first`` is given."""
--- a/src/waxwinghold_soak/faults.py
+++ b/src/waxwinghold_soak/faults.py
@@ -163,6 +163,15 @@
     scene.operator.change_keys()
 
 
+@fault("keys change behind a silent store")
+async def _keys_unseen(scene, choose):
+    with scene.store_trouble():
+        scene.store.trouble = choose.choice(["silent", "busy"])
+        scene.operator.change_keys()
+        await asyncio.sleep(choose.uniform(6.0, 9.0))
+        scene.store.trouble = ""
+
+
 @fault("foreign entries and notices")
 async def _foreign(scene, choose):
     scene.store.put("servers/odd", choose.choice([b"\xff", b"{}", b"[1]", b""]))
--- a/src/waxwinghold_soak/scene.py
+++ b/src/waxwinghold_soak/scene.py
@@ -37,12 +37,14 @@
     Args:
         seed: Decides faults, their times and what callers ask for.
         duration_s: How long faults are brought on.
+        settings: Settings of every gateway that differ from the usual ones.
     """
 
-    def __init__(self, *, seed, duration_s):
+    def __init__(self, *, seed, duration_s, settings=None):
         self._choose = random.Random(seed)
         self._seed = seed
         self._duration_s = duration_s
+        self._settings = settings or {}
         self._net = f"127.{20 + seed % 200}"
         self._store_troubles_count = 0
         self.faults = []
@@ -140,6 +142,7 @@
             "peers_port": port,
             "seeds": [f"{self._net}.1.1:1", f"{self._net}.1.2:1"],
             "strict_keys": True,
+            **self._settings,
         }
         program = Program(role="gateway", settings=settings, folder=folder)
         self.gateways.append(program)
