--- a/src/waxwinghold_soak/faults.py
+++ b/src/waxwinghold_soak/faults.py
@@ -167,8 +167,10 @@
 async def _keys_unseen(scene, choose):
     with scene.store_trouble():
         scene.store.trouble = choose.choice(["silent", "busy"])
+        # The first change adds a key, so that the second can take one away.
         scene.operator.change_keys()
-        await asyncio.sleep(choose.uniform(6.0, 9.0))
+        scene.operator.change_keys()
+        await asyncio.sleep(choose.uniform(7.0, 10.0))
         scene.store.trouble = ""
 
 
