--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN = $(VENV)/bin
 SOURCES = src tests
 
-.PHONY: setup lint format test demo try bench slopes
+.PHONY: setup lint format test demo try bench slopes soak
 
 setup: $(VENV)/.installed
 
@@ -36,3 +36,6 @@
 
 slopes: setup
 	$(BIN)/python -m waxwinghold_bench.slopes
+
+soak: setup
+	$(BIN)/python -m waxwinghold_soak many --count 10 --jobs 2
