Start gateway and rank agent by the product's own command

Ruled out: moving the roles' start out of the adapter (it makes the store's client and the speech). Before: no command. After: tests.test_deploy.ExampleTests (examples load; a misspelt setting ends with its name and the settings' exit status). The roles as deployed are untouched.

--- a/src/waxwinghold/_daemon.py
+++ b/src/waxwinghold/_daemon.py
@@ -1,6 +1,7 @@
-"""The ``waxwingd`` command: one daemon, two roles."""
+"""The ``waxwingd`` command: one daemon, four roles."""
 
 import asyncio
+import importlib.metadata
 import signal
 import sys
 
@@ -13,6 +14,8 @@
 from ._logs import log_handler
 from ._settings import AgentSettings, EntrySettings, load_settings
 
+ROLES_GROUP = "waxwinghold.roles"
+
 
 class Daemon:
     """Runs one process of waxwinghold.
@@ -37,6 +40,28 @@
         """
         _run(AgentProcess, settings, AgentSettings)
 
+    def gateway(self, settings):
+        """Run a gateway: HTTP towards callers, targets reached directly.
+
+        Args:
+            settings: Path of the settings file.
+        """
+        _run_registered("gateway", settings)
+
+    def rank_agent(self, settings):
+        """Run the agent beside a rank of a group that gateways serve.
+
+        Args:
+            settings: Path of the settings file.
+        """
+        _run_registered("rank_agent", settings)
+
+
+def _run_registered(role, path):
+    """Run a role that an adapter of the package registers in its metadata."""
+    (found,) = importlib.metadata.entry_points(group=ROLES_GROUP, name=role)
+    found.load()(path)
+
 
 def _run(process_class, path, settings_class):
     settings = load_settings(path, settings_class)
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -3,6 +3,8 @@
 import json
 import pathlib
 import re
+import subprocess
+import sys
 import tempfile
 import tomllib
 import unittest
@@ -92,3 +94,25 @@
         ):
             with self.subTest(changes=changes), self.assertRaises(SettingsError):
                 self.load("gateway", GatewaySettings, **changes)
+
+
+class ExampleTests(unittest.TestCase):
+    def test_the_examples_are_settings_that_the_commands_take(self):
+        kinds = {"gateway": GatewaySettings, "rank-agent": RankSettings}
+        for name, kind in kinds.items():
+            path = ROOT / "examples" / f"{name}.settings.json5"
+            self.assertEqual(load_settings(path, kind).peers_port, 7340, name)
+
+    def test_the_daemon_s_commands_name_a_broken_setting(self):
+        for command in ("gateway", "rank_agent"):
+            with tempfile.NamedTemporaryFile("w", suffix=".json5") as file:
+                file.write('{name: "x", peers_prot: 1}')
+                file.flush()
+                ended = subprocess.run(
+                    [sys.executable, "-m", "waxwinghold", command, file.name],
+                    capture_output=True,
+                    text=True,
+                    timeout=20,
+                )
+            self.assertEqual(ended.returncode, SettingsError.exit_status)
+            self.assertIn("peers_prot", ended.stderr)
