--- /dev/null
+++ b/src/waxwinghold_bench/gateway_cost.py
@@ -0,0 +1,139 @@
+"""``python -m waxwinghold_bench.gateway_cost``: what a gateway adds to a request.
+
+One real gateway process between a caller and stand-in workers of this process. The
+same calls go to a worker directly and through the gateway, by turns, so that other
+work of the machine meets both alike.
+"""
+
+import asyncio
+import statistics
+import tempfile
+from pathlib import Path
+
+import aiohttp
+import fire
+
+from waxwinghold._tool.reports import text_table
+from waxwinghold_soak.judge import World
+from waxwinghold_soak.operator import Operator
+from waxwinghold_soak.processes import Program
+from waxwinghold_soak.scene import until_ready
+from waxwinghold_soak.workers import SoakWorker
+from waxwinghold_standins.fleet_store import FleetStore
+
+from .places import free_addresses
+from .usage import read_usage
+
+CALLS_COUNT = 400
+WORKERS_COUNT = 4
+KINDS = {"safe": "GET", "unsafe": "POST", "stream": "GET"}
+WARM_UP_COUNT = 20
+MIB = 1024 * 1024
+HEADERS = (
+    "kind",
+    "calls",
+    "direct ms p50",
+    "p95",
+    "gateway ms p50",
+    "p95",
+    "added ms p50",
+    "cpu ms/call",
+)
+
+
+async def _start(folder):
+    store = FleetStore()
+    await store.start()
+    operator = Operator(store=store, world=World())
+    operator.publish()
+    workers = [SoakWorker(name=f"w{n}", seed=n) for n in range(WORKERS_COUNT)]
+    for worker in workers:
+        worker.event_ms = 1.0
+        await worker.start()
+        operator.list_worker(worker, worker.address)
+    callers, readiness, store_port = free_addresses(3)
+    settings = {
+        "name": "gateway-0",
+        "data_centre": "dc-a",
+        "callers_address": callers,
+        "readiness_address": readiness,
+        "store_address": "{}:{}".format(*store.address),
+        "peers_ip": "127.0.0.1",
+        "peers_port": int(store_port.rpartition(":")[2]),
+    }
+    program = Program(role="gateway", settings=settings, folder=folder)
+    await program.start()
+    await until_ready(program)
+    return store, workers, program
+
+
+async def _call(session, method, url, headers):
+    loop = asyncio.get_running_loop()
+    started = loop.time()
+    async with session.request(method, url, headers=headers) as answer:
+        await answer.read()
+        if answer.status != 200:
+            raise RuntimeError(f"{url} was answered {answer.status}")
+    return (loop.time() - started) * 1000
+
+
+async def _measure(kind, method, session, worker, program, calls_count):
+    ip_port = program.settings["callers_address"]
+    direct_url = "http://{}:{}/{}/1".format(*worker.address, kind)
+    gateway_url = f"http://{ip_port}/{kind}/1"
+    headers = {"Host": "shop.example", "Credential": "key-0"}
+    direct_ms, gateway_ms = [], []
+    before = None
+    for number in range(WARM_UP_COUNT + calls_count):
+        if number == WARM_UP_COUNT:
+            before = read_usage(program.pid)
+            direct_ms, gateway_ms = [], []
+        named = headers | {"Attempt-Id": f"{kind}-{number}"}
+        direct_ms.append(await _call(session, method, direct_url, named))
+        gateway_ms.append(await _call(session, method, gateway_url, named))
+    cpu_ms = read_usage(program.pid).cpu_ms - before.cpu_ms
+    p50 = [statistics.median(times) for times in (direct_ms, gateway_ms)]
+    p95 = [statistics.quantiles(times, n=20)[-1] for times in (direct_ms, gateway_ms)]
+    row = (kind, calls_count, p50[0], p95[0], p50[1], p95[1], p50[1] - p50[0])
+    return (*row, cpu_ms / calls_count)
+
+
+async def _run(calls_count):
+    with tempfile.TemporaryDirectory() as folder:
+        store, workers, program = await _start(Path(folder))
+        try:
+            async with aiohttp.ClientSession() as session:
+                rows = [
+                    await _measure(
+                        kind, method, session, workers[0], program, calls_count
+                    )
+                    for kind, method in KINDS.items()
+                ]
+            usage = read_usage(program.pid)
+        finally:
+            await program.close()
+            for server in (*workers, store):
+                await server.stop()
+    shown = [[_shown(value) for value in row] for row in rows]
+    print(text_table(HEADERS, shown))
+    events = workers[0].events_count
+    per_event = (rows[2][-1] - rows[0][-1]) / events
+    print(f"a stream has {events} events; {per_event:.3f} cpu ms an event")
+    print(f"memory {usage.resident_bytes / MIB:.1f} MiB")
+
+
+def _shown(value):
+    return f"{value:.2f}" if isinstance(value, float) else str(value)
+
+
+def main(calls_count=CALLS_COUNT):
+    """Measure one gateway.
+
+    Args:
+        calls_count: Calls of each kind, each way.
+    """
+    asyncio.run(_run(calls_count))
+
+
+if __name__ == "__main__":
+    fire.Fire(main)
--- a/src/waxwinghold_soak/processes.py
+++ b/src/waxwinghold_soak/processes.py
@@ -43,6 +43,11 @@
         """Return whether the process exists."""
         return self._process is not None and self._process.returncode is None
 
+    @property
+    def pid(self):
+        """Return the id of the present process."""
+        return self._process.pid
+
     async def start(self):
         """Start the process, unless it runs."""
         if self.running:
--- a/src/waxwinghold_soak/scene.py
+++ b/src/waxwinghold_soak/scene.py
@@ -113,7 +113,7 @@
         await asyncio.gather(*(one.start() for one in self.gateways + self.agents))
         async with asyncio.timeout(START_LIMIT_S):
             for gateway in self.gateways:
-                await _until_ready(gateway)
+                await until_ready(gateway)
 
     async def _add_worker(self):
         number = len(self.workers)
@@ -215,7 +215,8 @@
             await server.stop()
 
 
-async def _until_ready(gateway):
+async def until_ready(gateway):
+    """Wait until the ``Program`` of a gateway says that it is ready."""
     ip, port = gateway.settings["readiness_address"].split(":")
     while True:
         await asyncio.sleep(0.05)
