Send maps and counts as small as a leader's link of 4 Mbit/s asks

The 31 orders with a whole map, 2.5 KB each, left in one burst over a link of 4 Mbit/s, and part of it was lost. The counts of 31 ranks, 1,536 totals each, were some 4 Mbit/s on the same link by themselves. Ruled out: copying (13 ms an expert); refused orders (none in those changes); arming (20 to 60 ms); counts alone (a play with small counts and the burst: unchanged, stopped after 23 s). Change: at most four orders with maps in one poll of 20 ms; counts travel as growth since the last notice, one byte an expert that holds its square root; a leader's notices to many gateways are 2.5 ms apart for each.

--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -80,10 +80,11 @@
 
 
 class CountsNotice(msgspec.Struct, array_like=True, frozen=True, tag="counts"):
-    """How often the requests of one rank chose each expert since its start.
+    """How often the requests of one rank chose each expert since the last notice.
 
     Args:
-        counts: By set and expert.
+        scales: By set, what one unit of ``grown`` stands for.
+        grown: By set, a byte for each expert.
         held: Experts that the rank holds, by set.
     """
 
@@ -93,7 +94,8 @@
     group: str
     epoch: int
     rank: int
-    counts: list[list[int]]
+    scales: list[float]
+    grown: list[bytes]
     map_version: int
     held: list[list[int]]
 
--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -17,18 +17,18 @@
     decoder,
     encoder,
 )
-from .balancing import Balancing
+from .balancing import COUNTS_INTERVAL_MS, Balancing
 from .desk import OrderDesk
 from .far import FarRanks
 from .leader import Leader
 from .metrics import AgentMetrics
-from .telling import GREETING_INTERVAL_MS, GROUP_INTERVAL_MS, REPORT_INTERVAL_MS, Teller
+from .picks import Growth, pack
+from .telling import GREETING_INTERVAL_MS, REPORT_INTERVAL_MS, Teller
 from .view import GroupView
 
 log = logbook.Logger("agent")
 
 CHANGE_INTERVAL_MS = 25.0  # A change waits for each rank's report several times.
-COUNTS_INTERVAL_MS = 400.0
 TARGETS_INTERVAL_MS = 5000.0  # Ranks that moved are found within seconds.
 DEPUTY_SILENCE_MS = 700.0  # Four reports; the others take over one by one.
 DEPUTY_STEP_MS = 300.0
@@ -53,6 +53,7 @@
         self._directory = directory
         self._transport = None
         self._report = None
+        self._growth = Growth()
         self._stop = asyncio.Event()
         self._tasks = set()
         self.metrics = AgentMetrics(gauges=self._gauges)
@@ -233,7 +234,7 @@
 
     async def _keep_telling_group(self):
         while True:
-            await self._clock.sleep_ms(GROUP_INTERVAL_MS)
+            await self._clock.sleep_ms(self._teller.group_interval_ms())
             self._teller.tell_group()
 
     async def _keep_counting(self):
@@ -248,6 +249,8 @@
             except SendError as error:
                 log.debug("rank tells no counts", extra={"reason": str(error)})
                 continue
+            if notice is None:
+                continue
             if self._is_leader():
                 self._balancing.take_counts(notice)
                 continue
@@ -261,6 +264,11 @@
     async def _counts_notice(self, report):
         version, held = await self._port.held_experts()
         counts = await self._port.counts(sets_count=len(held))
+        key = (report.born_ms, report.group, report.epoch)
+        grown = self._growth.since_last(counts, key=key)
+        if grown is None:
+            return None
+        scales, packed = pack(grown)
         return CountsNotice(
             format=FORMAT,
             address=self._settings.target_address,
@@ -268,7 +276,8 @@
             group=report.group,
             epoch=report.epoch,
             rank=report.rank,
-            counts=counts,
+            scales=scales,
+            grown=packed,
             map_version=version,
             held=held,
         )
--- a/src/waxwinghold/_ranks/balancing.py
+++ b/src/waxwinghold/_ranks/balancing.py
@@ -6,11 +6,13 @@
 
 from .demand import RecentDemand
 from .leader import GroupChangedError
+from .picks import Totals, unpack
 from .planner import map_policy, step_length
 
 log = logbook.Logger("balancing")
 
 LOOK_INTERVAL_MS = 300.0
+COUNTS_INTERVAL_MS = 400.0  # Between two notices of a rank's counts.
 CHANGE_PAUSE_MS = 400.0  # Counts of the new map must be seen before the next.
 # Copying one expert lengthens steps by 15 % for about 50 ms, and costs the
 # memory links; it must shorten all steps until demand shifts, some 3 s, by this.
@@ -40,6 +42,7 @@
         self._count = count
         self._policy = map_policy.make(policy)
         self._demand = RecentDemand()
+        self._totals = Totals()
         self._held = {}
         self._epoch = None
         self.shape = None
@@ -52,14 +55,20 @@
         if key != self._epoch:
             self._epoch = key
             self._demand.clear()
+            self._totals.clear()
             self._held = {}
+        grown = unpack(notice.scales, notice.grown)
+        now_ms = self._clock.now_ms()
+        if not self._totals.knows(notice.rank, born_ms=notice.born_ms):
+            self._take_totals(notice, _zeros(grown), now_ms - COUNTS_INTERVAL_MS)
+        totals = self._totals.add(notice.rank, grown, born_ms=notice.born_ms)
+        self._take_totals(notice, totals, now_ms)
+        self._held[notice.rank] = (notice.map_version, notice.held)
+
+    def _take_totals(self, notice, totals, now_ms):
         self._demand.take(
-            rank=notice.rank,
-            born_ms=notice.born_ms,
-            counts=notice.counts,
-            now_ms=self._clock.now_ms(),
+            rank=notice.rank, born_ms=notice.born_ms, counts=totals, now_ms=now_ms
         )
-        self._held[notice.rank] = (notice.map_version, notice.held)
 
     async def run(self, *, is_leader, is_deputy):
         """Look at the demand again and again until cancelled.
@@ -161,3 +170,7 @@
             return None
         ranks = [self._held[rank][1] for rank in range(self._view.size)]
         return [list(experts) for experts in zip(*ranks)]
+
+
+def _zeros(rows):
+    return [[0] * len(row) for row in rows]
--- a/src/waxwinghold/_ranks/leader.py
+++ b/src/waxwinghold/_ranks/leader.py
@@ -24,6 +24,9 @@
 POLL_INTERVAL_MS = 20.0
 RESEND_INTERVAL_MS = 110.0  # Beyond the time that an order's answer is waited for.
 PREPARE_LIMIT_MS = 6000.0  # Copies take about a second; orders may be lost.
+# Orders that carry a whole map, some 2.5 KB for 32 ranks, in one poll: what a link
+# of 4 Mbit/s carries meanwhile. A burst of all of them is lost in part.
+MAPS_PER_POLL_COUNT = 4
 # Time until the switch: arming takes some 60 ms, and reports lag by 50 ms.
 HOLD_AHEAD_MS = 200.0
 HOLD_AHEAD_LEAST_COUNT = 3  # Passes; one may begin before the order arrives.
@@ -120,6 +123,7 @@
             ),
             end_ms=end_ms,
             resend_ms=3 * RESEND_INTERVAL_MS,
+            per_poll_count=MAPS_PER_POLL_COUNT,
         )
         notices = self._require(epoch)
         return all(one.prepared == version for one in notices.values())
@@ -190,7 +194,14 @@
         )
 
     async def _order_all(
-        self, epoch, *, done, make, end_ms=float("inf"), resend_ms=RESEND_INTERVAL_MS
+        self,
+        epoch,
+        *,
+        done,
+        make,
+        end_ms=float("inf"),
+        resend_ms=RESEND_INTERVAL_MS,
+        per_poll_count=None,
     ):
         """Send orders until every rank reports that it carried out its own."""
         sent_ms = {}
@@ -200,10 +211,14 @@
             now_ms = self._clock.now_ms()
             if not open_ranks or now_ms > end_ms:
                 return
-            for rank in open_ranks:
-                if now_ms - sent_ms.get(rank, float("-inf")) >= resend_ms:
-                    sent_ms[rank] = now_ms
-                    self._send(rank, make(notices[rank]))
+            due_ranks = [
+                rank
+                for rank in open_ranks
+                if now_ms - sent_ms.get(rank, float("-inf")) >= resend_ms
+            ]
+            for rank in due_ranks[:per_poll_count]:
+                sent_ms[rank] = now_ms
+                self._send(rank, make(notices[rank]))
             await self._clock.sleep_ms(POLL_INTERVAL_MS)
 
     def _require(self, epoch):
--- a/src/waxwinghold/_ranks/telling.py
+++ b/src/waxwinghold/_ranks/telling.py
@@ -13,6 +13,8 @@
 # that are twice as old send half as many again to targets that are full.
 REPORT_INTERVAL_MS = 75.0
 GROUP_INTERVAL_MS = 50.0  # Adds little to the age of what it tells.
+# Keeps what a leader sends to a quarter of a link of 4 Mbit/s.
+GROUP_INTERVAL_PER_GATEWAY_MS = 2.5
 GROUP_AGE_LIMIT_MS = 400.0  # Two notices of a rank may be lost.
 # Up to this many gateways are told by each rank itself, without the detour.
 DIRECT_GATEWAYS_COUNT = 4
@@ -73,6 +75,11 @@
         for ip in receivers:
             self._send(ip, data)
 
+    def group_interval_ms(self):
+        """Return how long after one notice of the group the next one follows."""
+        scaled_ms = GROUP_INTERVAL_PER_GATEWAY_MS * len(self._gateways())
+        return max(GROUP_INTERVAL_MS, scaled_ms)
+
     def tell_group(self):
         """Tell all gateways of the whole group, if this agent leads it."""
         gateways = self._gateways()
