Keep an agent alive whose rank restarts between report and counts

Its rank's counts had shrunk under the key of an earlier report, and the square root of the difference has no value. There it was the stand-in, whose hot expert moved and took its counts along; on the platform a rank that restarts between its report and its counts gives the same. Ruled out: clamping at zero (the growth of a new start would be missing what it began with and pass for a whole interval). Change: counts that shrink are those of a new start. The stand-in's counts only grow now, while the hot expert still moves.

--- a/src/waxwinghold/_ranks/picks.py
+++ b/src/waxwinghold/_ranks/picks.py
@@ -46,9 +46,11 @@
         self._key, self._counts = key, counts
         if before is None:
             return None
-        return [
+        grown = [
             [late - early for early, late in zip(*pair)] for pair in zip(before, counts)
         ]
+        # A rank that restarted after its report counts from zero under the old key.
+        return grown if all(min(row, default=0) >= 0 for row in grown) else None
 
 
 class Totals:
--- a/src/waxwinghold_standins/fleet_rank_server.py
+++ b/src/waxwinghold_standins/fleet_rank_server.py
@@ -6,7 +6,9 @@
 
 from ._raw_http import RawServer, answer_bytes
 
-HOT_EXPERT_SHARE = 40  # Choices of the first expert for one of any other.
+CHOICES_A_STEP = 10
+HOT_EXPERT_SHARE = 40  # Choices of the hot expert for one of any other.
+SHIFT_STEPS_COUNT = 100  # Demand shifts, so that maps change again and again.
 
 
 class FleetRankServer(RawServer):
@@ -73,12 +75,18 @@
         step = self._rank.group.step
         counts = []
         for number, _ in enumerate(self._rank.experts):
-            each = [step * 10] * self._rank.group.experts_count
-            # Demand shifts, so that maps have to change again and again.
-            each[(number + step // 100) % len(each)] += step * HOT_EXPERT_SHARE * 10
-            counts += each
+            counts += self._counts(step, number)
         return {"step": step, "epoch": self._rank.group.epoch, "counts": counts}
 
+    def _counts(self, step, number):
+        """Return the counts of one set; they only grow, and the hot expert moves."""
+        counts = [step * CHOICES_A_STEP] * self._rank.group.experts_count
+        for first in range(0, step, SHIFT_STEPS_COUNT):
+            hot = (number + first // SHIFT_STEPS_COUNT) % len(counts)
+            steps_count = min(SHIFT_STEPS_COUNT, step - first)
+            counts[hot] += steps_count * CHOICES_A_STEP * HOT_EXPERT_SHARE
+        return counts
+
 
 def _order(fields):
     return Order(
--- a/tests/test_ranks_picks.py
+++ b/tests/test_ranks_picks.py
@@ -69,6 +69,15 @@
         self.assertIsNone(growth.since_last([[3, 3]], key=2))
         self.assertEqual(growth.since_last([[3, 4]], key=2), [[0, 1]])
 
+    def test_counts_that_shrink_are_those_of_a_new_start(self):
+        """A rank that restarts between its report and its counts."""
+        growth = Growth()
+        growth.since_last([[5, 9]], key=1)
+        self.assertIsNone(growth.since_last([[7, 2]], key=1))
+        grown = growth.since_last([[8, 4]], key=1)
+        self.assertEqual(grown, [[1, 2]])
+        self.assertTrue(pack(grown))
+
     def test_a_lost_notice_is_missing_and_disturbs_nothing(self):
         totals = Totals()
         self.assertEqual(totals.add(0, [[2, 0]], born_ms=1), [[2, 0]])
