Write the tasks and the UDP port of a process once

Cause: gateway and rank agent each had the same task keeping (a failed task is logged and ends the process) and the same decoding of datagrams. Ruled out: the product's older process class (it ends otherwise: it drains, and its tasks are handed back to the caller).

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -9,6 +9,7 @@
 from .._metrics import Metrics
 from .._reload import CHECK_INTERVAL_MS
 from .._settings import split_ip_port
+from .._tasks import ProcessTasks
 from .attempts import Attempts
 from .budget import budget_policy
 from .choice import seat_policy
@@ -79,7 +80,7 @@
         self._stopping = False
         self._refusing = False
         self._stop = asyncio.Event()
-        self._tasks = set()
+        self._tasks = ProcessTasks(on_failure=self._stop.set)
 
     @property
     def limits(self):
@@ -171,13 +172,13 @@
         loop.add_signal_handler(signal.SIGTERM, self._begin_stop)
         loop.add_signal_handler(signal.SIGINT, self._begin_stop)
         loop.add_signal_handler(signal.SIGHUP, self._reload)
-        self._spawn(self._source.run())
-        self._spawn(self.peers.run())
-        self._spawn(self._tick())
-        self._spawn(self._watch_settings())
+        self._tasks.spawn(self._source.run())
+        self._tasks.spawn(self.peers.run())
+        self._tasks.spawn(self._tick())
+        self._tasks.spawn(self._watch_settings())
         await self._serve_readiness()
         await self._front.start(split_ip_port(self.settings.callers_address))
-        self._spawn(self._front.sweep())
+        self._tasks.spawn(self._front.sweep())
         log.info("gateway is up", extra={"name": self.settings.name})
         await self._stop.wait()
         await self._finish()
@@ -186,9 +187,7 @@
 
     async def close(self):
         """Close every connection and end every task."""
-        for task in list(self._tasks):
-            task.cancel()
-        await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._tasks.end()
         for server in self._servers:
             server.close()
         self._front.close()
@@ -305,14 +304,3 @@
         while self._front.open_count and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(TICK_INTERVAL_MS)
         await self.clock.sleep_ms(TICK_INTERVAL_MS)
-
-    def _spawn(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
-
-    def _task_ended(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("a task failed", extra={"reason": repr(task.exception())})
-            self._stop.set()
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -4,19 +4,17 @@
 by the next, and no connection to a peer can go silent unnoticed.
 """
 
-import asyncio
 import random
 
 import logbook
-import msgspec
 
+from .endpoint import NoticeEndpoint
 from .notices import (
     FORMAT,
     LIMIT_BYTES,
     GatewayNotice,
     GroupNotice,
     RankNotice,
-    decoder,
     encoder,
 )
 
@@ -39,7 +37,7 @@
         self.heard_ms = 0.0
 
 
-class Peers(asyncio.DatagramProtocol):
+class Peers(NoticeEndpoint):
     """Sends this gateway's notices and takes in those of others.
 
     Args:
@@ -52,6 +50,7 @@
     """
 
     def __init__(self, *, clock, settings, seats, waiting):
+        super().__init__(ip=settings.peers_ip, port=settings.peers_port)
         self._clock = clock
         self.settings = settings
         self._seats = seats
@@ -59,7 +58,6 @@
         self._peers = {}
         self._sequence = 0
         self._started_ms = clock.wall_ms()
-        self._transport = None
         self._greeted_ms = float("-inf")
         self._last_counts = None
         self._quiet_rounds_count = 0
@@ -90,9 +88,7 @@
 
     def send(self, ip, notice):
         """Send a notice to the gateway at ``ip``; it may be lost."""
-        if self._transport is not None:
-            address = (ip, self.settings.peers_port)
-            self._transport.sendto(encoder.encode(notice), address)
+        self.send_data(ip, encoder.encode(notice))
 
     def waiting_count(self, service):
         """Return how many requests wait at the other gateways."""
@@ -104,9 +100,7 @@
 
     async def run(self):
         """Exchange notices until cancelled."""
-        loop = asyncio.get_running_loop()
-        address = (self.settings.peers_ip, self.settings.peers_port)
-        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        await self.open_endpoint()
         while True:
             self._forget_silent()
             self._send_notices()
@@ -114,28 +108,16 @@
 
     def close(self):
         """Send and take in nothing more."""
-        if self._transport is not None:
-            self._transport.close()
+        self.close_endpoint()
 
-    def connection_made(self, transport):
-        self._transport = transport
+    def note_malformed(self):
+        self.malformed_count += 1
 
-    def error_received(self, exc):
-        log.debug("a notice came back", extra={"reason": repr(exc)})
-
-    def datagram_received(self, data, address):
-        try:
-            notice = decoder.decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            self.malformed_count += 1
-            log.warn("malformed notice", extra={"reason": str(error)})
-            return
-        if notice.format != FORMAT:
-            return
+    def take_notice(self, ip, notice):
         if isinstance(notice, GatewayNotice):
-            self._take(address[0], notice)
+            self._take(ip, notice)
         elif type(notice) in self.handlers:
-            self.handlers[type(notice)](address[0], notice)
+            self.handlers[type(notice)](ip, notice)
 
     def _take(self, ip, notice):
         peer = self._peers.setdefault(ip, Peer())
@@ -203,7 +185,7 @@
         else:
             receivers |= self._agents(unheard_only=True)
         for ip in receivers:
-            self._transport.sendto(data, (ip, self.settings.peers_port))
+            self.send_data(ip, data)
 
     def _agents(self, *, unheard_only):
         """Return where agents may be; with ``unheard_only`` those not heard yet."""
--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -4,8 +4,8 @@
 import signal
 
 import logbook
-import msgspec
 
+from .._gateway.endpoint import NoticeEndpoint
 from .._gateway.errors import SendError
 from .._gateway.notices import (
     FORMAT,
@@ -14,9 +14,9 @@
     GatewayNotice,
     OrderNotice,
     RankNotice,
-    decoder,
     encoder,
 )
+from .._tasks import ProcessTasks
 from .balancing import COUNTS_INTERVAL_MS, Balancing
 from .desk import OrderDesk
 from .far import FarRanks
@@ -35,7 +35,7 @@
 CALL_RETRY_MS = 300.0
 
 
-class RankAgent(asyncio.DatagramProtocol):
+class RankAgent(NoticeEndpoint):
     """One agent process.
 
     Args:
@@ -47,15 +47,15 @@
     """
 
     def __init__(self, *, clock, settings, port, make_port, directory):
+        super().__init__(ip=settings.peers_ip, port=settings.peers_port)
         self._clock = clock
         self._settings = settings
         self._port = port
         self._directory = directory
-        self._transport = None
         self._report = None
         self._growth = Growth()
         self._stop = asyncio.Event()
-        self._tasks = set()
+        self.tasks = ProcessTasks(on_failure=self._stop.set)
         self.metrics = AgentMetrics(gauges=self._gauges)
         started_ms = clock.wall_ms()
         self.view = GroupView(clock=clock)
@@ -63,7 +63,7 @@
             clock=clock,
             settings=settings,
             view=self.view,
-            send=self._send,
+            send=self.send_data,
             started_ms=started_ms,
         )
         self.leader = Leader(
@@ -83,8 +83,8 @@
             port=port,
             view=self.view,
             far=self.far,
-            send=self._send,
-            spawn=self._spawn,
+            send=self.send_data,
+            spawn=self.tasks.spawn,
             accepted=self._report_now,
             count=self.metrics.count,
         )
@@ -107,8 +107,7 @@
         loop.add_signal_handler(signal.SIGTERM, self._stop.set)
         loop.add_signal_handler(signal.SIGINT, self._stop.set)
         loop.add_signal_handler(signal.SIGHUP, _reload)
-        address = (self._settings.peers_ip, self._settings.peers_port)
-        await loop.create_datagram_endpoint(lambda: self, local_addr=address)
+        await self.open_endpoint()
         if self._settings.metrics_port:
             await self.metrics.serve(
                 self._settings.peers_ip, self._settings.metrics_port
@@ -122,7 +121,7 @@
             self.far.run(),
             self._balancing.run(is_leader=self._is_leader, is_deputy=self._is_deputy),
         ):
-            self._spawn(coroutine)
+            self.tasks.spawn(coroutine)
         log.info("agent is up", extra={"target": self._settings.target_address})
         await self._stop.wait()
         self.close()
@@ -130,35 +129,19 @@
 
     def close(self):
         """Send and take in nothing more."""
-        for task in list(self._tasks):
-            task.cancel()
-        if self._transport is not None:
-            self._transport.close()
+        self.tasks.cancel()
+        self.close_endpoint()
         self.metrics.close()
 
-    def connection_made(self, transport):
-        self._transport = transport
+    def note_malformed(self):
+        self.metrics.count("malformed_notices")
 
-    def error_received(self, exc):
-        log.debug("a notice came back", extra={"reason": repr(exc)})
-
-    def datagram_received(self, data, address):
-        try:
-            notice = decoder.decode(data)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
-            self.metrics.count("malformed_notices")
-            log.warn("malformed notice", extra={"reason": str(error)})
-            return
-        if notice.format != FORMAT:
-            return
+    def take_notice(self, ip, notice):
         if isinstance(notice, GatewayNotice):
-            self._teller.note_gateway(address[0])
+            self._teller.note_gateway(ip)
         elif type(notice) in self._handlers:
             self._handlers[type(notice)](notice)
 
-    def _send(self, ip, data):
-        self._transport.sendto(data, (ip, self._settings.peers_port))
-
     def _gauges(self):
         report = self._report
         if report is None:
@@ -259,7 +242,7 @@
                 log.warn("counts too large", extra={"bytes": len(data)})
                 continue
             for ip in self._teller.leader_ips():
-                self._send(ip, data)
+                self.send_data(ip, data)
 
     async def _counts_notice(self, report):
         version, held = await self._port.held_experts()
@@ -295,17 +278,6 @@
         if report is not None and report.group:
             self._teller.tell(report)
 
-    def _spawn(self, coroutine):
-        task = asyncio.get_running_loop().create_task(coroutine)
-        self._tasks.add(task)
-        task.add_done_callback(self._task_ended)
-
-    def _task_ended(self, task):
-        self._tasks.discard(task)
-        if not task.cancelled() and task.exception() is not None:
-            log.error("a task failed", extra={"reason": repr(task.exception())})
-            self._stop.set()
-
 
 def _reload():
     log.info("settings reloaded: nothing in them may change at run time")
--- a/tests/test_ranks_agent.py
+++ b/tests/test_ranks_agent.py
@@ -194,7 +194,7 @@
         for rank in (2, 3):
             await agent.far.read(rank, known[rank])
             await agent.far.give(known[rank].address, order)
-        self.assertEqual(len(agent._tasks), 7)
+        self.assertEqual(len(agent.tasks), 7)
 
     async def ask_metrics(self, head):
         reader, writer = await asyncio.open_connection(agent_ip(0), self.metrics_port)
