Write the soak's kills and freezes once; name the stand-in's abstract method

Cause: gateways and agents were killed and frozen by the same lines, and RawServer.handle looked unfinished: it is for subclasses to fill in.

--- a/src/waxwinghold_soak/faults.py
+++ b/src/waxwinghold_soak/faults.py
@@ -45,13 +45,21 @@
             task.cancel()
 
 
+async def _kill(program, choose):
+    program.kill()
+    await asyncio.sleep(choose.uniform(0.0, 2.0))
+    await program.start()
+
+
+async def _freeze(program, lasts_s):
+    program.pause()
+    await asyncio.sleep(lasts_s)
+    program.wake()
+
+
 @fault("gateway killed")
 async def _gateway_killed(scene, choose):
-    gateway = choose.choice(scene.gateways)
-    pause_s = choose.uniform(0.0, 2.0)
-    gateway.kill()
-    await asyncio.sleep(pause_s)
-    await gateway.start()
+    await _kill(choose.choice(scene.gateways), choose)
 
 
 @fault("gateway stopped as planned")
@@ -71,11 +79,7 @@
 
 @fault("gateway frozen")
 async def _gateway_frozen(scene, choose):
-    gateway = choose.choice(scene.gateways)
-    lasts_s = choose.choice([0.05, 0.4, 2.0, 6.5])
-    gateway.pause()
-    await asyncio.sleep(lasts_s)
-    gateway.wake()
+    await _freeze(choose.choice(scene.gateways), choose.choice([0.05, 0.4, 2.0, 6.5]))
 
 
 @fault("gateway slowed by many short stops")
@@ -186,19 +190,12 @@
 
 @fault("agent killed")
 async def _agent_killed(scene, choose):
-    agent = choose.choice(scene.agents)
-    agent.kill()
-    await asyncio.sleep(choose.uniform(0.0, 2.0))
-    await agent.start()
+    await _kill(choose.choice(scene.agents), choose)
 
 
 @fault("agent frozen")
 async def _agent_frozen(scene, choose):
-    agent = choose.choice(scene.agents)
-    lasts_s = choose.choice([0.1, 0.5, 1.5, 4.0])
-    agent.pause()
-    await asyncio.sleep(lasts_s)
-    agent.wake()
+    await _freeze(choose.choice(scene.agents), choose.choice([0.1, 0.5, 1.5, 4.0]))
 
 
 @fault("answers to orders lost")
--- a/src/waxwinghold_standins/_raw_http.py
+++ b/src/waxwinghold_standins/_raw_http.py
@@ -1,5 +1,6 @@
 """A bare HTTP/1.1 server for stand-ins that must be able to answer wrongly."""
 
+import abc
 import asyncio
 import socket
 import struct
@@ -20,7 +21,7 @@
     body: bytes = b""
 
 
-class RawServer:
+class RawServer(abc.ABC):
     """Reads requests and hands each to ``handle`` with the connection's writer.
 
     Attributes:
@@ -49,9 +50,9 @@
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
 
+    @abc.abstractmethod
     async def handle(self, request, writer):
         """Answer one request; return whether the connection stays open."""
-        raise NotImplementedError
 
     async def _serve(self, reader, writer):
         self.connections_count += 1
