--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -120,7 +120,7 @@
         try:
             await send.run(target)
         except SendError as error:
-            self._record_failure(target, error)
+            self._record_failure(target, send, error)
             return error
         finally:
             self._may_have_arrived = self._may_have_arrived or send.may_have_arrived
@@ -128,7 +128,7 @@
         target.record_success()
         return None
 
-    def _record_failure(self, target, error):
+    def _record_failure(self, target, send, error):
         now_ms = self._clock.now_ms()
         if error.ran is not Ran.NOT_RUN:
             self._ran = error.ran
@@ -150,6 +150,10 @@
                 "reason": str(error),
                 "ran": error.ran.value,
                 "left_ms": round(self._left_ms()),
+                "answer_begun": send.has_head,
+                "answer_data": send.has_data,
+                "group_stalled": target.is_stalled(now_ms),
+                "shared_parts": self._call.shared_parts,
             },
         )
 
--- a/src/waxwinghold/_gateway/codec.py
+++ b/src/waxwinghold/_gateway/codec.py
@@ -37,6 +37,8 @@
         last_event_id: Id of the last event that the caller has, to continue a
             stream after it; ``None`` for the start of the stream.
         arrived_ms: When its head was read, in milliseconds of the gateway's clock.
+        shared_parts: Ids of the parts of its prompt that other requests may have too,
+            in their order.
     """
 
     request_id: str
@@ -49,6 +51,7 @@
     key: str
     last_event_id: int | None
     arrived_ms: float
+    shared_parts: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -92,6 +92,8 @@
 
     Attributes:
         may_have_arrived: Whether any byte may have reached the target.
+        has_head: Whether the target began an answer to the request.
+        has_data: Whether a part of the answer's body arrived.
     """
 
     def __init__(
@@ -109,6 +111,8 @@
         self._has_another = has_another
         self._has_slot_elsewhere = has_slot_elsewhere
         self.may_have_arrived = False
+        self.has_head = False
+        self.has_data = False
 
     async def run(self, target):
         """Send the request to ``target`` and pass the answer on.
@@ -127,6 +131,7 @@
             self._sent_ms = self._clock.now_ms()
             connection.send(self._request_bytes(target))
             head, metadata = await self._head(connection)
+            self.has_head = True
             self._record_load(target, metadata)
             if not metadata.executed:
                 await self._within(connection.whole_body(), SHORTEST_SEND_MS)
@@ -179,6 +184,7 @@
 
     async def _pass_whole(self, target, connection, head):
         body = await self._within(connection.whole_body(), self._send_limit_ms())
+        self.has_data = True
         self._record_first_answer()
         if head.status >= FIRST_ERROR_STATUS:
             target.record_error_answer()
@@ -189,7 +195,6 @@
 
     async def _pass_stream(self, target, connection, head):
         splitter = EventSplitter()
-        has_data = False
         if not self._progress.started:
             headers = self._gateway.codec.answer_headers(head)
             self._progress.started = True
@@ -198,8 +203,8 @@
             data = await self._stream_piece(connection.body)
             if not data:
                 break
-            if not has_data:
-                has_data = True
+            if not self.has_data:
+                self.has_data = True
                 self._record_first_answer()
             try:
                 events = splitter.feed(data)
--- a/src/waxwinghold/platform/codec.py
+++ b/src/waxwinghold/platform/codec.py
@@ -17,6 +17,8 @@
 NOT_EXECUTED = b"not-executed"
 CULPRIT = b"at-server"
 LOAD = b"server-load"
+PROMPT_PARTS = b"prompt-prefix"
+SHARED_PARTS_LIMIT_COUNT = 16  # Callers send two or three.
 MISDIRECTED = 421
 # Never passed on from the caller: the gateway sets these headers itself, except the
 # key, which workers do not get.
@@ -46,6 +48,7 @@
             key=_text(values.get(KEY)),
             last_event_id=_whole_number(values, LAST_EVENT_ID),
             arrived_ms=arrived_ms,
+            shared_parts=_shared_parts(values),
         )
 
     def request_bytes(
@@ -126,6 +129,13 @@
     return int(text)
 
 
+def _shared_parts(values):
+    """Return the ids of all prompt parts but the last, which is the request's own."""
+    entries = _text(values.get(PROMPT_PARTS)).split(",")[:-1]
+    names = (entry.partition(":")[0].strip().lower() for entry in entries)
+    return tuple(name for name in names if name)[:SHARED_PARTS_LIMIT_COUNT]
+
+
 def _load(text):
     """Return ``(running, waiting)`` of a load header, or ``None`` if not valid."""
     if text is None:
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -3,6 +3,8 @@
 import asyncio
 import unittest
 
+import logbook
+
 from waxwinghold._decisions import sends
 from waxwinghold._gateway import sending
 
@@ -224,6 +226,18 @@
         self.assertLessEqual(runs, 4)
 
 
+class FailureLogTests(PathCase):
+    async def test_a_lost_answer_is_logged_with_its_prompt_and_progress(self):
+        fixture = await self.fixture("stream_cut")
+        with logbook.TestHandler().applicationbound() as logs:
+            await fixture.call("/once/a", method="POST", Prompt_Prefix="AA:40,bb:9,c:1")
+        failed = next(line for line in logs.records if line.message == "send failed")
+        self.assertEqual(failed.extra["shared_parts"], ("aa", "bb"))
+        self.assertTrue(failed.extra["answer_begun"])
+        self.assertTrue(failed.extra["answer_data"])
+        self.assertFalse(failed.extra["group_stalled"])
+
+
 class SlotsTests(PathCase):
     async def test_a_target_never_runs_more_requests_than_its_slots(self):
         fixture = await self.fixture("slow", "slow")
