--- a/src/waxwinghold_standins/_raw_http.py
+++ b/src/waxwinghold_standins/_raw_http.py
@@ -16,12 +16,14 @@
         path: Path of the request line, with the query.
         headers: Values by name in lower case.
         body: The whole body.
+        arrived_s: When it was read, by the clock of the event loop.
     """
 
     method: str
     path: str
     headers: dict = field(default_factory=dict)
     body: bytes = b""
+    arrived_s: float = 0.0
 
 
 class RawServer(abc.ABC):
@@ -99,7 +101,13 @@
         name, _, value = line.partition(":")
         headers[name.strip().lower()] = value.strip()
     body = await reader.readexactly(int(headers.get("content-length", 0)))
-    return RawRequest(method=method, path=path, headers=headers, body=body)
+    return RawRequest(
+        method=method,
+        path=path,
+        headers=headers,
+        body=body,
+        arrived_s=asyncio.get_running_loop().time(),
+    )
 
 
 def answer_bytes(status, headers=(), body=b"", *, with_length=True):
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -17,6 +17,9 @@
             time.
         events_count: Number of events in a complete stream.
         event_ms: Time between two events of a stream.
+        crash_part: Id of a prompt part that crashes the worker as it begins an answer.
+        restart_ms: Time from a crash until the worker listens again.
+        on_restart: Called with the worker as it listens again, under a new name.
 
     Attributes:
         body: Body of an answer that is not a stream.
@@ -24,10 +27,28 @@
         requests: Every ``RawRequest`` that arrived.
         running_count: Number of slow requests that run now.
         peak_running_count: Highest ``running_count`` so far.
+        crash_times_s: When the worker crashed, by the clock of the event loop.
+        previous_name: Its name before the last crash.
     """
 
-    def __init__(self, *, name, behaviour="whole", events_count=5, event_ms=5.0):
+    def __init__(
+        self,
+        *,
+        name,
+        behaviour="whole",
+        events_count=5,
+        event_ms=5.0,
+        crash_part="",
+        restart_ms=300.0,
+        on_restart=lambda worker: None,
+    ):
         super().__init__()
+        self.crash_part = crash_part
+        self.restart_ms = restart_ms
+        self.on_restart = on_restart
+        self.crash_times_s = []
+        self.previous_name = name
+        self._restart_task = None
         self.name = name
         self.behaviour = behaviour
         self.events_count = events_count
@@ -45,8 +66,36 @@
             headers = [("Instance-Id", self.name)]
             writer.write(answer_bytes(421, headers))
             return True
+        if self.crash_part and self.crash_part in shared_parts(request):
+            return await self._crash(request, writer)
         return await getattr(self, f"_answer_{self.behaviour}")(request, writer)
 
+    async def stop(self):
+        if self._restart_task is not None:
+            self._restart_task.cancel()
+        await super().stop()
+
+    async def _crash(self, request, writer):
+        """Begin an answer, then end every connection and restart some time later."""
+        headers = [*self.record_run(request), ("Content-Type", "text/event-stream")]
+        headers.append(("Transfer-Encoding", "chunked"))
+        writer.write(answer_bytes(200, headers, with_length=False))
+        await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+        if self._restart_task is None or self._restart_task.done():
+            self.crash_times_s.append(asyncio.get_running_loop().time())
+            self._server.close()
+            for open_writer in list(self._writers):
+                open_writer.transport.abort()
+            self._restart_task = asyncio.create_task(self._restart())
+        return False
+
+    async def _restart(self):
+        await asyncio.sleep(self.restart_ms / MS_PER_SECOND)
+        self.previous_name = self.name
+        self.name = f"{self.name.partition('.')[0]}.{len(self.crash_times_s)}"
+        await self.start(*self.address)
+        self.on_restart(self)
+
     def record_run(self, request):
         """Record that a request was run; return the headers of its answer."""
         attempt_id = request.headers.get("attempt-id", "")
@@ -185,6 +234,12 @@
             writer.write(b"0\r\n\r\n")
 
 
+def shared_parts(request):
+    """Return the ids of all prompt parts of a ``RawRequest`` but the last."""
+    entries = request.headers.get("prompt-prefix", "").split(",")[:-1]
+    return [entry.partition(":")[0] for entry in entries]
+
+
 def stream_event(number):
     """Return the bytes of one event of a stream.
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -72,6 +72,42 @@
     ]
 
 
+def make_gateway(
+    *, name, store, port, readiness_port, peers_port, ip="127.0.0.1", **settings
+):
+    """Return a ``Gateway`` that reads ``store`` and serves callers at ``ip``.
+
+    Args:
+        store: The ``FleetStore``.
+        port: TCP port for callers.
+        readiness_port: TCP port for readiness checks.
+        peers_port: UDP port of all gateways.
+        settings: Further fields of the ``GatewaySettings``.
+    """
+    clock = Clock()
+
+    def make_source(published, readers):
+        return StoreWatcher(
+            clock=clock, published=published, readers=readers, address=store.address
+        )
+
+    return Gateway(
+        clock=clock,
+        settings=GatewaySettings(
+            name=name,
+            data_centre="dc-a",
+            callers_address=f"{ip}:{port}",
+            readiness_address=f"{ip}:{readiness_port}",
+            store_address="{}:{}".format(*store.address),
+            peers_ip=ip,
+            peers_port=peers_port,
+            **settings,
+        ),
+        codec=PlatformCodec(),
+        make_source=make_source,
+    )
+
+
 class GatewayFixture:
     """Runs a gateway with a stand-in of the store and of several workers.
 
@@ -122,32 +158,14 @@
         self.store.put(f"servers/{worker.name}", entry)
 
     def start_gateway(self):
-        settings = GatewaySettings(
+        self.gateway = make_gateway(
             name="gateway-1",
-            data_centre="dc-a",
-            callers_address=f"127.0.0.1:{self.port}",
-            readiness_address=f"127.0.0.1:{self.readiness_port}",
-            store_address="{}:{}".format(*self.store.address),
-            peers_ip="127.0.0.1",
+            store=self.store,
+            port=self.port,
+            readiness_port=self.readiness_port,
             peers_port=free_port(socket.SOCK_DGRAM),
             **self._settings,
         )
-        clock = Clock()
-
-        def make_source(published, readers):
-            return StoreWatcher(
-                clock=clock,
-                published=published,
-                readers=readers,
-                address=self.store.address,
-            )
-
-        self.gateway = Gateway(
-            clock=clock,
-            settings=settings,
-            codec=PlatformCodec(),
-            make_source=make_source,
-        )
         self.task = asyncio.create_task(self.gateway.run())
 
     async def stop_gateway(self):
--- /dev/null
+++ b/tests/support/gateway_fleet.py
@@ -0,0 +1,143 @@
+"""Several gateways for tests, with workers that one prompt part crashes."""
+
+import asyncio
+import itertools
+import socket
+from contextlib import asynccontextmanager
+
+import aiohttp
+import logbook
+
+from waxwinghold_standins.fleet_store import FleetStore, worker_entry
+from waxwinghold_standins.fleet_worker import FleetWorker
+
+from .gateway import HOST, KEY, READY_LIMIT_S, configuration, free_port, make_gateway
+
+
+class GatewayFleet:
+    """Runs gateways on loopback addresses of their own, and workers.
+
+    Args:
+        gateways_count: Number of gateways.
+        workers_count: Number of workers.
+        worker: Options of each ``FleetWorker``.
+
+    Attributes:
+        gateways: The running ``Gateway`` objects.
+        workers: The ``FleetWorker`` stand-ins.
+    """
+
+    def __init__(self, *, gateways_count, workers_count, **worker):
+        self.store = FleetStore()
+        self.workers = [
+            FleetWorker(name=f"w{number}", on_restart=self._replace_worker, **worker)
+            for number in range(workers_count)
+        ]
+        self.ips = [f"127.0.1.{number + 1}" for number in range(gateways_count)]
+        self.gateways = [None] * gateways_count
+        self._tasks = [None] * gateways_count
+        self._port = free_port()
+        self._readiness_port = free_port()
+        self._peers_port = free_port(socket.SOCK_DGRAM)
+        self._request_ids = (f"r-{number}" for number in itertools.count())
+
+    @asynccontextmanager
+    async def open(self):
+        """Run the store, the workers and the gateways until the end of the block."""
+        handler = logbook.NullHandler()
+        handler.push_application()
+        await self.store.start()
+        for worker in self.workers:
+            await worker.start()
+            self._register(worker)
+        self.store.put("op/config", configuration())
+        for index in range(len(self.gateways)):
+            self.start_gateway(index)
+        try:
+            await self.wait_ready()
+            yield self
+        finally:
+            for index in range(len(self.gateways)):
+                await self.stop_gateway(index)
+            for server in (self.store, *self.workers):
+                await server.stop()
+            handler.pop_application()
+
+    def start_gateway(self, index):
+        gateway = make_gateway(
+            name=f"gateway-{index}",
+            store=self.store,
+            ip=self.ips[index],
+            port=self._port,
+            readiness_port=self._readiness_port,
+            peers_port=self._peers_port,
+            seeds=tuple(f"{ip}:1" for ip in self.ips[:2]),
+        )
+        self.gateways[index] = gateway
+        self._tasks[index] = asyncio.create_task(gateway.run())
+
+    async def stop_gateway(self, index):
+        """End a gateway at once, as a kill does."""
+        self._tasks[index].cancel()
+        await asyncio.gather(self._tasks[index], return_exceptions=True)
+        await self.gateways[index].close()
+
+    async def wait_ready(self):
+        """Wait until every gateway knows the workers and the other gateways."""
+        async with asyncio.timeout(READY_LIMIT_S):
+            while not all(map(self._is_complete, self.gateways)):
+                await asyncio.sleep(0.01)
+
+    def _is_complete(self, gateway):
+        has_targets = len(list(gateway.target_pool)) >= len(self.workers)
+        return has_targets and gateway.peers.gateways_count == len(self.gateways)
+
+    async def stream(self, index, *parts):
+        """Send a stream request with these prompt parts and one of its own.
+
+        Args:
+            index: Number of the gateway.
+
+        Returns:
+            ``(status, body)``; the body is ``None`` if it is incomplete.
+        """
+        request_id = next(self._request_ids)
+        entries = [f"{part}:40" for part in (*parts, f"own-{request_id}")]
+        headers = {
+            "Host": HOST,
+            "Attempt-Id": request_id,
+            "Credential": KEY,
+            "Deadline-Ms": "8000",
+            "Prompt-Prefix": ",".join(entries),
+        }
+        url = f"http://{self.ips[index]}:{self._port}/stream/a"
+        async with aiohttp.ClientSession() as session:
+            try:
+                async with session.post(
+                    url, headers=headers, data=request_id
+                ) as answer:
+                    return answer.status, await answer.read()
+            except aiohttp.ClientError:
+                return None, None
+
+    def crash_times_s(self):
+        """Return when workers crashed, in order."""
+        return sorted(time for worker in self.workers for time in worker.crash_times_s)
+
+    def arrivals(self, part):
+        """Return the time of each arrival of a request with the part at a worker."""
+        return sorted(
+            request.arrived_s
+            for worker in self.workers
+            for request in worker.requests
+            if part in request.headers.get("prompt-prefix", "")
+        )
+
+    def _register(self, worker):
+        entry = worker_entry(service="models", address=worker.address)
+        self.store.put(f"servers/{worker.name}", entry)
+
+    def _replace_worker(self, worker):
+        previous = worker.previous_name
+        self.store.delete(f"servers/{previous}")
+        self._register(worker)
