Block the prompt part that crashes targets, at all gateways

Cause: a gateway counted crashes by the whole content of a request, and only those it saw itself. Requests with the part are never alike, and the first five crashes are spread over the gateways: no count ever passed one. A part is blamed only for requests lost there before any answer; answers clear parts; a part that explains crashes takes them from the parts beside it; many ends at once count as one; a target that answers later requests has not crashed. Gateways announce a version of what they know, and pull it by a random number: an unasked datagram teaches nothing.

--- /dev/null
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -0,0 +1,392 @@
+"""Decides which requests are not sent because their content crashes targets.
+
+It handles content that crashes each target that begins to answer it and that keeps
+coming: the same request again, or requests that share nothing but one part of their
+prompts, at any process, among sound requests that share all other parts.
+``tests.test_decisions_crash_suspects`` replays both.
+
+A part gets the blame for a crash only if a request with it was lost there before any
+of its answer arrived. Any answer clears the parts of its request. A part that explains
+crashes takes the blame for them from the parts beside it, so that a part which every
+request has is not blocked for another one.
+"""
+
+import functools
+import hashlib
+import zlib
+from collections import OrderedDict
+from dataclasses import dataclass, field
+
+CRASHES_LIMIT_COUNT = 3  # A single outage can cause two losses by chance.
+SUSPICIOUS_CRASHES_COUNT = 2  # From here on a lost request is not sent again.
+# The same limit for a part that was answered shortly before: many requests have it, so
+# that some of them are at any target that crashes.
+TRUSTED_CRASHES_LIMIT_COUNT = 6
+TRUST_MS = 30_000.0
+CONTENTS_LIMIT_COUNT = 2  # One request that is repeated says nothing about its parts.
+# Callers repeat crashing content for minutes; afterwards it may have been mended.
+LIFETIME_MS = 600_000.0
+# The ends of this many targets at once may be an outage, and count as one crash.
+OUTAGE_TARGETS_COUNT = 4
+OUTAGE_WINDOW_MS = 100.0
+TARGETS_LIMIT_COUNT = 32  # Crashed targets that are remembered.
+RECORDS_LIMIT_COUNT = 4  # Lost requests remembered for one of them.
+EVIDENCE_LIMIT_COUNT = TRUSTED_CRASHES_LIMIT_COUNT
+ANSWERS_LIMIT_COUNT = 4096  # Parts with an answer within ``TRUST_MS``.
+DIGEST_BYTES = 6
+
+
+@dataclass(frozen=True, kw_only=True)
+class RequestContent:
+    """What may make a request crash its target.
+
+    Args:
+        call: All of the request, as bytes; equal if it is sent again.
+        part_names: The parts of its prompt that other requests may have too.
+        scope: Name of what runs the parts: a part may crash one service only.
+    """
+
+    call: tuple[bytes, ...]
+    part_names: tuple[str, ...] = ()
+    scope: str = ""
+
+    @functools.cached_property
+    def digest(self):
+        """Return the digest of the whole request."""
+        return _digest(*self.call)
+
+    @functools.cached_property
+    def parts(self):
+        """Return the digests of the parts, in their order."""
+        scope = self.scope.encode()
+        return tuple(_digest(scope, name.encode()) for name in self.part_names)
+
+
+@dataclass(frozen=True, kw_only=True)
+class LostRequest:
+    """A request that was lost, without any of its answer, as its target crashed.
+
+    Args:
+        target: Name and incarnation of the target.
+        digest: Digest of the whole request.
+        parts: Digests of its shared parts, in their order.
+        is_begun: Whether the target had begun to answer it.
+        at_ms: When it was lost, by the clock of the process.
+    """
+
+    target: str
+    digest: bytes
+    parts: tuple[bytes, ...]
+    is_begun: bool
+    at_ms: float
+
+
+@dataclass(kw_only=True)
+class _Crash:
+    at_ms: float
+    lost: dict = field(default_factory=dict)  # ``LostRequest`` by digest.
+
+    @property
+    def candidates(self):
+        """The lost requests that can have caused it: if any was begun, only those."""
+        begun = [lost for lost in self.lost.values() if lost.is_begun]
+        return begun or list(self.lost.values())
+
+
+class CrashSuspects:
+    """Remembers crashes and answers, and decides what is blocked.
+
+    Attributes:
+        version: Changes with what other processes should know; 0 if that is nothing.
+    """
+
+    def __init__(self):
+        self._crashes = OrderedDict()
+        # When each part was last answered; ``_cleared_ms`` holds those that occur in
+        # ``_crashes``, as long as they do.
+        self._answered_ms = OrderedDict()
+        self._cleared_ms = {}
+        self._last_crash_ms = {}
+        self._blocked_parts = frozenset()
+        self._suspicious_parts = frozenset()
+        self._blocked_contents = frozenset()
+        self.version = 0
+
+    @property
+    def blocked_count(self):
+        """Return the number of parts and whole requests that are blocked."""
+        return len(self._blocked_parts) + len(self._blocked_contents)
+
+    def record_loss(self, content, *, target, is_begun, now_ms):
+        """Record that the connection to a target ended before any answer.
+
+        Args:
+            content: The ``RequestContent`` of the lost request.
+            target: Name and incarnation of the target.
+            is_begun: Whether the target had begun to answer.
+        """
+        lost = LostRequest(
+            target=target,
+            digest=content.digest,
+            parts=content.parts,
+            is_begun=is_begun,
+            at_ms=now_ms,
+        )
+        if self._add(lost):
+            self._decide()
+
+    def record_answer(self, content, *, target, sent_ms, now_ms):
+        """Record that a part of an answer arrived.
+
+        Args:
+            content: The ``RequestContent`` of the answered request.
+            target: Name and incarnation of the target that answered.
+            sent_ms: When the request was sent. A target that answers what was sent
+                later than its crash has not crashed.
+        """
+        crash = self._crashes.get(target)
+        is_refuted = crash is not None and sent_ms > crash.at_ms
+        if is_refuted:
+            del self._crashes[target]
+        is_cleared = False
+        for part in content.parts:
+            self._answered_ms[part] = now_ms
+            self._answered_ms.move_to_end(part)
+            is_cleared |= self._clear(part, now_ms)
+        if self._crashes and not is_cleared:
+            is_cleared = self._clear(content.digest, now_ms)
+        self._drop_answers(now_ms)
+        if is_refuted or is_cleared:
+            self._decide()
+
+    def is_blocked(self, content, *, now_ms):
+        """Return whether requests with this content must not be sent."""
+        self._drop_expired(now_ms)
+        if self._blocked_parts and not self._blocked_parts.isdisjoint(content.parts):
+            return True
+        return bool(self._blocked_contents) and content.digest in self._blocked_contents
+
+    def may_send_again(self, content, *, now_ms):
+        """Return whether a request that was lost in a crash may be sent once more."""
+        if self.is_blocked(content, now_ms=now_ms):
+            return False
+        return self._suspicious_parts.isdisjoint(content.parts)
+
+    def lost_requests(self):
+        """Return the ``LostRequest`` records that other processes should know."""
+        return [
+            lost for crash in self._crashes.values() for lost in crash.lost.values()
+        ]
+
+    def cleared_ms(self):
+        """Return when each part or request in the records was last answered."""
+        return dict(self._cleared_ms)
+
+    def merge(self, lost_requests, cleared_ms, *, now_ms):
+        """Add what another process knows.
+
+        Args:
+            lost_requests: Its ``LostRequest`` records, times by this process's clock.
+            cleared_ms: When parts and requests were last answered there.
+        """
+        for lost in lost_requests:
+            if now_ms - LIFETIME_MS < lost.at_ms <= now_ms:
+                self._add(lost)
+        for key, at_ms in cleared_ms.items():
+            if at_ms <= now_ms and key in self._last_crash_ms:
+                self._cleared_ms[key] = max(at_ms, self._cleared_ms.get(key, at_ms))
+        self._decide()
+
+    def _add(self, lost):
+        """Add a ``LostRequest``; return whether it is new."""
+        crash = self._crashes.setdefault(lost.target, _Crash(at_ms=lost.at_ms))
+        known = crash.lost.get(lost.digest)
+        if known is not None and known.is_begun >= lost.is_begun:
+            return False
+        if known is None and len(crash.lost) >= RECORDS_LIMIT_COUNT:
+            spare = [key for key, other in crash.lost.items() if not other.is_begun]
+            if not lost.is_begun or not spare:
+                return False
+            del crash.lost[spare[0]]
+        crash.at_ms = min(crash.at_ms, lost.at_ms)
+        crash.lost[lost.digest] = lost
+        for part in lost.parts:
+            if part in self._answered_ms:
+                answered_ms = self._answered_ms[part]
+                self._cleared_ms[part] = max(
+                    answered_ms, self._cleared_ms.get(part, answered_ms)
+                )
+        return True
+
+    def _clear(self, key, now_ms):
+        """Record an answer; return whether it clears a crash that still counted."""
+        last_crash_ms = self._last_crash_ms.get(key)
+        if last_crash_ms is None:
+            return False
+        previous_ms = self._cleared_ms.get(key, float("-inf"))
+        self._cleared_ms[key] = now_ms
+        return previous_ms <= last_crash_ms
+
+    def _drop_answers(self, now_ms):
+        while self._answered_ms:
+            part, at_ms = next(iter(self._answered_ms.items()))
+            is_recent = now_ms - at_ms <= TRUST_MS
+            if is_recent and len(self._answered_ms) <= ANSWERS_LIMIT_COUNT:
+                return
+            del self._answered_ms[part]
+
+    def _drop_expired(self, now_ms):
+        expired = [
+            target
+            for target, crash in self._crashes.items()
+            if now_ms - crash.at_ms >= LIFETIME_MS
+        ]
+        for target in expired:
+            del self._crashes[target]
+        if expired:
+            self._decide()
+
+    def _decide(self):
+        """Decide anew what is blocked; the order of the events does not matter."""
+        crashes = dict(self._crashes)
+        events = self._events()
+
+        def count(targets):
+            return len({events[target] for target in targets})
+
+        self._blocked_contents = frozenset(
+            key
+            for key, targets in self._targets_by_key(crashes, _whole_key).items()
+            if count(targets) >= CRASHES_LIMIT_COUNT
+        )
+        blocked = set()
+        while part := self._most_likely_part(crashes, count):
+            blocked.add(part)
+            crashes = {
+                target: crash
+                for target, crash in crashes.items()
+                if not any(part in lost.parts for lost in crash.candidates)
+            }
+        self._blocked_parts = frozenset(blocked)
+        self._suspicious_parts = frozenset(
+            part
+            for part, targets in self._targets_by_key(crashes, _part_keys).items()
+            if count(targets) >= SUSPICIOUS_CRASHES_COUNT
+            and not self._is_trusted(part, targets, crashes)
+        )
+        self._drop_surplus()
+        self._index()
+
+    def _events(self):
+        """Return the event that each crash belongs to, by target."""
+        groups = []
+        for target, crash in sorted(
+            self._crashes.items(), key=lambda item: item[1].at_ms
+        ):
+            if not groups or crash.at_ms - groups[-1][0] > OUTAGE_WINDOW_MS:
+                groups.append((crash.at_ms, []))
+            groups[-1][1].append(target)
+        return {
+            target: group[0] if len(group) >= OUTAGE_TARGETS_COUNT else target
+            for _, group in groups
+            for target in group
+        }
+
+    def _targets_by_key(self, crashes, keys_of):
+        """Return the crashed targets by each key that was not answered since."""
+        targets_by_key = {}
+        for target, crash in crashes.items():
+            for lost in crash.candidates:
+                for key in keys_of(lost):
+                    if crash.at_ms > self._cleared_ms.get(key, float("-inf")):
+                        targets_by_key.setdefault(key, set()).add(target)
+        return targets_by_key
+
+    def _most_likely_part(self, crashes, count):
+        """Return the part that explains most crashes, if it may be blocked."""
+        best = None
+        for part, targets in self._targets_by_key(crashes, _part_keys).items():
+            is_trusted = self._is_trusted(part, targets, crashes)
+            limit_count = (
+                TRUSTED_CRASHES_LIMIT_COUNT if is_trusted else CRASHES_LIMIT_COUNT
+            )
+            lost = [
+                lost
+                for target in targets
+                for lost in crashes[target].candidates
+                if part in lost.parts
+            ]
+            contents_count = len({request.digest for request in lost})
+            if count(targets) < limit_count or contents_count < CONTENTS_LIMIT_COUNT:
+                continue
+            # Later parts are in fewer prompts.
+            position = sum(request.parts.index(part) for request in lost) / len(lost)
+            rank = (not is_trusted, len(targets), position, part)
+            if best is None or rank > best:
+                best = rank
+        return best[-1] if best else None
+
+    def _is_trusted(self, part, targets, crashes):
+        first_ms = min(crashes[target].at_ms for target in targets)
+        answered_ms = self._cleared_ms.get(part, float("-inf"))
+        return first_ms - answered_ms <= TRUST_MS
+
+    def _drop_surplus(self):
+        """Remove the oldest crashes, first those that block nothing."""
+        evidence_counts = dict.fromkeys(self._blocked_parts, 0)
+        kept = set()
+        for target, crash in reversed(self._crashes.items()):
+            parts = {part for lost in crash.lost.values() for part in lost.parts}
+            for part in parts & self._blocked_parts:
+                evidence_counts[part] += 1
+                if evidence_counts[part] <= EVIDENCE_LIMIT_COUNT:
+                    kept.add(target)
+        surplus_count = len(self._crashes) - TARGETS_LIMIT_COUNT
+        targets = sorted(self._crashes, key=kept.__contains__)
+        for target in targets[: max(0, surplus_count)]:
+            del self._crashes[target]
+
+    def _index(self):
+        self._last_crash_ms = {}
+        for crash in self._crashes.values():
+            for lost in crash.lost.values():
+                for key in (lost.digest, *lost.parts):
+                    previous_ms = self._last_crash_ms.get(key, crash.at_ms)
+                    self._last_crash_ms[key] = max(previous_ms, crash.at_ms)
+        self._cleared_ms = {
+            key: at_ms
+            for key, at_ms in self._cleared_ms.items()
+            if key in self._last_crash_ms
+        }
+        self.version = self._make_version()
+
+    def _make_version(self):
+        """Return a number that is equal in processes that know the same."""
+        if not self._crashes:
+            return 0
+        known = [
+            b"%s %s %d" % (target.encode(), lost.digest, lost.is_begun)
+            for target, crash in self._crashes.items()
+            for lost in crash.lost.values()
+        ]
+        for key, at_ms in self._cleared_ms.items():
+            last_crash_ms = self._last_crash_ms[key]
+            if at_ms >= last_crash_ms - TRUST_MS:
+                known.append(b"%s %d" % (key, at_ms >= last_crash_ms))
+        return zlib.crc32(b"\n".join(sorted(known))) or 1
+
+
+def _whole_key(lost):
+    return (lost.digest,)
+
+
+def _part_keys(lost):
+    return lost.parts
+
+
+def _digest(*values):
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for value in values:
+        digest.update(value)
+        digest.update(b"\0")
+    return digest.digest()
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -138,9 +138,7 @@
         elif error.blames_target:
             target.record_failure(now_ms=now_ms)
         if error.code == "connection_lost":
-            self._gateway.suspects.record_loss(
-                self._admitted, target_name=target.listing.name, now_ms=now_ms
-            )
+            self._record_lost_connection(target, send, now_ms)
         log.info(
             "send failed",
             extra={
@@ -157,6 +155,29 @@
             },
         )
 
+    def _record_lost_connection(self, target, send, now_ms):
+        # A group that makes no steps begins no requests: it cuts off those that it has.
+        if send.has_data or target.is_stalled(now_ms):
+            return
+        suspects = self._gateway.suspects
+        blocked_count = suspects.blocked_count
+        suspects.record_loss(
+            self._admitted.content,
+            target=target.incarnation,
+            is_begun=send.has_head,
+            now_ms=now_ms,
+        )
+        self._gateway.metrics.count("crashes")
+        if suspects.blocked_count > blocked_count:
+            log.warn(
+                "crashing content blocked",
+                extra={
+                    "request": self._call.request_id,
+                    "target": target.listing.name,
+                    "shared_parts": self._call.shared_parts,
+                },
+            )
+
     def _record_rejection(self, target, error, now_ms):
         if not error.culprit:
             target.record_rejection(now_ms=now_ms)
@@ -179,8 +200,8 @@
             return False
         if not self._may_have_arrived:
             return True  # Only retries of sends that reached a target use the budget.
-        if self._gateway.suspects.is_blocked(
-            self._admitted, now_ms=self._clock.now_ms()
+        if not self._gateway.suspects.may_send_again(
+            self._admitted.content, now_ms=self._clock.now_ms()
         ):
             return False
         return self._budget.try_spend(
@@ -201,9 +222,9 @@
                 retry_after_ms=queue.retry_after_ms(end_ms=self._admitted.end_ms),
             )
         if self._gateway.suspects.is_blocked(
-            self._admitted, now_ms=self._clock.now_ms()
+            self._admitted.content, now_ms=self._clock.now_ms()
         ):
-            return CrashingRequestError("this request crashed several targets")
+            return CrashingRequestError("such requests crashed several targets")
         if isinstance(failure, SilentTargetError):
             return TimedOutError("the target did not answer in time")
         return AnswerLostError(f"the answer was lost: {failure}")
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -6,6 +6,7 @@
 import logbook
 from aiohttp import web
 
+from .._decisions.crash_suspects import CrashSuspects, RequestContent
 from .._decisions.retry_budget import budget_policy
 from .._decisions.target_choice import Turns, target_policy
 from .._decisions.waiting import UsualDeadline, queue_policy
@@ -23,7 +24,6 @@
 from .published_state import PublishedState
 from .readers import StoreReaders
 from .sending import AdmittedRequest
-from .suspects import SuspectRequests
 from .targets import TargetPool
 
 log = logbook.Logger("gateway")
@@ -65,12 +65,14 @@
         self.published = PublishedState(
             clock=clock, target_pool=self.target_pool, grace_ms=settings.list_grace_ms
         )
-        self.suspects = SuspectRequests()
+        self.suspects = CrashSuspects()
+        self.metrics.gauge("blocked_contents", lambda: self.suspects.blocked_count)
         self.peers = Peers(
             clock=clock,
             settings=settings,
             target_pool=self.target_pool,
             waiting_counts=self._waiting_counts,
+            suspects=self.suspects,
         )
         self.readers = StoreReaders(
             clock=clock,
@@ -165,14 +167,13 @@
                 "this gateway is stopping", retry_after_ms=RETRY_ELSEWHERE_MS
             )
         admitted = self._admit(call)
-        self._check_suspect(admitted)
+        self._check_content(admitted)
         started_ms = self.clock.now_ms()
         try:
             await Attempts(gateway=self, admitted=admitted, answer=answer).run()
         except SendError:
             self.metrics.count("broken", label=admitted.route.kind.value)
             raise
-        self.suspects.record_answer(admitted)
         self.metrics.record_ms(
             "request",
             self.clock.now_ms() - started_ms,
@@ -180,12 +181,14 @@
         )
 
     def check_sendable(self, admitted):
-        """Check the caller's key again just before a send, as it may have been revoked.
+        """Check the request again just before a send.
 
         Raises:
+            CrashingRequestError: Its content has crashed several targets by now.
             UnconfiguredError: This gateway's copy of the keys is too old.
             UnknownKeyError: The key has been revoked.
         """
+        self._check_content(admitted)
         if not admitted.call.key or admitted.route.anonymous:
             return
         self._check_fresh()
@@ -240,14 +243,17 @@
         elapsed_ms = self._usual_deadline(route).elapsed_ms(
             limit_ms, now_ms=call.arrived_ms
         )
+        service = table.service(route=route, request_id=call.request_id)
+        customer_name = customer.name if customer else ""
         return AdmittedRequest(
             call=call,
             route=route,
-            service=table.service(route=route, request_id=call.request_id),
-            customer_name=customer.name if customer else "",
+            service=service,
+            customer_name=customer_name,
             priority=priority,
             end_ms=call.arrived_ms + limit_ms,
             elapsed_ms=elapsed_ms,
+            content=_content(call, service=service, customer_name=customer_name),
         )
 
     def _usual_deadline(self, route):
@@ -266,9 +272,9 @@
                 retry_after_ms=RETRY_ELSEWHERE_MS,
             )
 
-    def _check_suspect(self, admitted):
-        if self.suspects.is_blocked(admitted, now_ms=self.clock.now_ms()):
-            raise CrashingRequestError("this request crashed several targets")
+    def _check_content(self, admitted):
+        if self.suspects.is_blocked(admitted.content, now_ms=self.clock.now_ms()):
+            raise CrashingRequestError("such requests crashed several targets")
 
     def _ready(self):
         if self._stopping or self.published.table is None:
@@ -342,3 +348,17 @@
         while self._caller_server.open_count and self.clock.now_ms() < end_ms:
             await self.clock.sleep_ms(TICK_INTERVAL_MS)
         await self.clock.sleep_ms(TICK_INTERVAL_MS)
+
+
+def _content(call, *, service, customer_name):
+    """Return the ``RequestContent`` of a caller's request."""
+    return RequestContent(
+        call=(
+            call.method.encode(),
+            call.path.encode(),
+            customer_name.encode(),
+            call.body,
+        ),
+        part_names=call.shared_parts,
+        scope=service,
+    )
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -24,6 +24,8 @@
         counts: The sender's requests in flight by target, without targets that
             have none or whose rank agent reports its own counts.
         waiting: Requests in the sender's queues, by service.
+        suspects_version: Version of what the sender knows about crashes of targets;
+            0 if that is nothing.
     """
 
     format: int
@@ -34,6 +36,7 @@
     members: list[str]
     counts: dict[str, int]
     waiting: dict[str, int]
+    suspects_version: int = 0
 
 
 class RankNotice(msgspec.Struct, array_like=True, frozen=True, tag="rank"):
@@ -166,6 +169,37 @@
     changes: list[bytes] = []
 
 
+class AskSuspectsNotice(msgspec.Struct, array_like=True, frozen=True, tag="ask-lost"):
+    """Asks another gateway for what it knows about crashes of targets.
+
+    Args:
+        nonce: A random number that the answer repeats; it cannot be guessed.
+    """
+
+    format: int
+    nonce: int
+
+
+class SuspectsNotice(msgspec.Struct, array_like=True, frozen=True, tag="lost"):
+    """Tells another gateway, which has asked, about crashes of targets.
+
+    Args:
+        echo: The nonce of the ``AskSuspectsNotice`` that this one answers.
+        version: The sender's ``suspects_version``.
+        lost: One tuple for each lost request: the target and its incarnation, the
+            digest of the request, those of its shared prompt parts, whether the target
+            had begun to answer, and the age of the loss in milliseconds.
+        cleared: Age in milliseconds of the last answer, by the digest of the part or
+            request that was answered.
+    """
+
+    format: int
+    echo: int
+    version: int
+    lost: list[tuple[str, bytes, tuple[bytes, ...], bool, int]]
+    cleared: list[tuple[bytes, int]]
+
+
 Notice = (
     GatewayNotice
     | RankNotice
@@ -174,6 +208,8 @@
     | OrderNotice
     | AskNotice
     | FreshNotice
+    | AskSuspectsNotice
+    | SuspectsNotice
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -15,11 +15,14 @@
 from .notices import (
     FORMAT,
     LIMIT_BYTES,
+    AskSuspectsNotice,
     GatewayNotice,
     GroupNotice,
     RankNotice,
+    SuspectsNotice,
     encoder,
 )
+from .suspect_exchange import SuspectExchange
 
 log = logbook.Logger("peers")
 
@@ -53,6 +56,7 @@
         target_pool: The ``TargetPool`` whose ``peers_in_flight_count`` values are
             kept up to date.
         waiting_counts: Returns the number of queued requests by service.
+        suspects: The ``CrashSuspects`` that the gateways share.
 
     Attributes:
         handlers: Functions for all notices but ``GatewayNotice``, by class; called
@@ -60,12 +64,16 @@
         malformed_count: Datagrams that could not be decoded.
     """
 
-    def __init__(self, *, clock, settings, target_pool, waiting_counts):
+    def __init__(self, *, clock, settings, target_pool, waiting_counts, suspects):
         super().__init__(ip=settings.peers_ip, port=settings.peers_port)
         self._clock = clock
         self.settings = settings
         self._target_pool = target_pool
         self._waiting_counts = waiting_counts
+        self._suspects = suspects
+        self._suspect_exchange = SuspectExchange(
+            clock=clock, suspects=suspects, target_pool=target_pool, send=self.send
+        )
         self._peers = {}
         self._sequence = 0
         self._started_ms = clock.wall_ms()
@@ -76,6 +84,8 @@
         self.handlers = {
             RankNotice: lambda ip, notice: target_pool.update_rank(notice),
             GroupNotice: lambda ip, notice: target_pool.update_group(notice),
+            AskSuspectsNotice: self._suspect_exchange.on_ask,
+            SuspectsNotice: self._suspect_exchange.on_told,
         }
 
     @property
@@ -153,6 +163,7 @@
                 self._peers[member_ip].last_seen_ms = peer.last_seen_ms
         if previous is None or previous.counts != notice.counts:
             self._count_peer_requests()
+        self._suspect_exchange.on_version(ip, notice.suspects_version)
 
     def _interval_ms(self):
         return max(
@@ -173,7 +184,7 @@
             for target in self._target_pool
             if target.in_flight_count and not target.has_recent_notice(now_ms=now_ms)
         }
-        state = (counts, self._waiting_counts())
+        state = (counts, self._waiting_counts(), self._suspects.version)
         self._quiet_rounds_count += 1
         if (
             state == self._last_state
@@ -193,6 +204,7 @@
             members=random.sample(active_ips, min(MEMBERS_COUNT, len(active_ips))),
             counts=counts,
             waiting=state[1],
+            suspects_version=state[2],
         )
         data = encoder.encode(notice)
         if len(data) > LIMIT_BYTES:
@@ -229,6 +241,7 @@
             if now_ms - peer.last_seen_ms > limit_ms
         ]
         for ip in silent:
+            self._suspect_exchange.on_silence(ip)
             if self._peers.pop(ip).notice is not None:
                 log.info("silent gateway removed", extra={"peer": ip})
         if silent:
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from .._decisions.crash_suspects import RequestContent
 from .._decisions.sends import SHORTEST_SEND_MS
 from .errors import (
     FailedAnswerError,
@@ -50,6 +51,7 @@
         end_ms: When its deadline or the route's time-out ends it, in milliseconds
             of the gateway's clock.
         elapsed_ms: Time since the caller first asked, as far as its deadline tells.
+        content: The ``RequestContent`` by which crashes of targets are counted.
     """
 
     call: object
@@ -59,6 +61,7 @@
     priority: int
     end_ms: float
     elapsed_ms: float = 0.0
+    content: RequestContent
 
     @property
     def whole_ms(self):
@@ -184,8 +187,7 @@
 
     async def _pass_whole(self, target, connection, head):
         body = await self._within(connection.whole_body(), self._send_limit_ms())
-        self.has_data = True
-        self._record_first_answer()
+        self._record_first_answer(target)
         if head.status >= FIRST_ERROR_STATUS:
             target.record_error_answer()
             if self._may_repeat():
@@ -204,8 +206,7 @@
             if not data:
                 break
             if not self.has_data:
-                self.has_data = True
-                self._record_first_answer()
+                self._record_first_answer(target)
             try:
                 events = splitter.feed(data)
             except EventTooLongError as error:
@@ -278,9 +279,17 @@
         can_repeat = self._route.repeatable and self._has_another
         return can_repeat and self._left_ms() > SHORTEST_SEND_MS
 
-    def _record_first_answer(self):
-        took_ms = self._clock.now_ms() - self._sent_ms
-        self._admission_queue.first_answer_time.record(took_ms)
+    def _record_first_answer(self, target):
+        self.has_data = True
+        now_ms = self._clock.now_ms()
+        self._admission_queue.first_answer_time.record(now_ms - self._sent_ms)
+        target.answered_send_ms = max(target.answered_send_ms, self._sent_ms)
+        self._gateway.suspects.record_answer(
+            self._admitted.content,
+            target=target.incarnation,
+            sent_ms=self._sent_ms,
+            now_ms=now_ms,
+        )
 
     def _record_load(self, target, metadata):
         if metadata.load is not None:
--- a/src/waxwinghold/_gateway/targets.py
+++ b/src/waxwinghold/_gateway/targets.py
@@ -112,6 +112,7 @@
             state is updated from each ``GroupNotice`` as well.
         last_notice_ms: When the state in ``rank_notice`` was current.
         progress: The ``GroupProgress`` of the target's group.
+        answered_send_ms: When the latest request that it answered was sent.
     """
 
     def __init__(self, *, clock, listing):
@@ -129,6 +130,12 @@
         self.rank_notice = None
         self.last_notice_ms = 0.0
         self.progress = GroupProgress()
+        self.answered_send_ms = float("-inf")
+
+    @property
+    def incarnation(self):
+        """Return the target's name and start time: a restart makes another one."""
+        return f"{self.listing.name}/{self.listing.born_ms}"
 
     @property
     def pace(self):
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -204,7 +204,33 @@
         await asyncio.sleep(3600)
         return False
 
-    async def _stream(self, request, writer, *, stop_after, cut=False, end=True):
+    async def _answer_stream_unframed(self, request, writer):
+        """Send a whole stream that ends with its connection."""
+        await self._stream(
+            request, writer, stop_after=self.events_count, frame=bytes, end=False
+        )
+        return False
+
+    async def _answer_stream_unframed_cut(self, request, writer):
+        """End an unframed stream with its connection, in the middle of an event."""
+        await self._stream(request, writer, stop_after=2, cut=True, frame=bytes)
+        return False
+
+    async def _answer_stream_unframed_empty(self, request, writer):
+        """End an unframed stream with its connection, before the first event."""
+        await self._stream(request, writer, stop_after=0, frame=bytes, end=False)
+        return False
+
+    async def _answer_stream_unframed_reset(self, request, writer):
+        """Reset the connection of an unframed stream between two events."""
+        await self._stream(request, writer, stop_after=2, frame=bytes, end=False)
+        await asyncio.sleep(0.02)
+        reset_connection(writer)
+        return False
+
+    async def _stream(
+        self, request, writer, *, stop_after, cut=False, end=True, frame=None
+    ):
         """Send events as a chunked body, from the one after ``Last-Event-ID`` on.
 
         Args:
@@ -213,9 +239,13 @@
             stop_after: Maximum number of events to send.
             cut: Whether to send a part of the next event after them.
             end: Whether to end the body properly, unless it is cut.
+            frame: Function that returns the bytes to send for a piece of the body;
+                ``None`` for chunks.
         """
         headers = [*self.record_run(request), ("Content-Type", "text/event-stream")]
-        headers.append(("Transfer-Encoding", "chunked"))
+        if frame is None:
+            frame = http_chunk
+            headers.append(("Transfer-Encoding", "chunked"))
         writer.write(answer_bytes(200, headers, with_length=False))
         first = int(request.headers.get("last-event-id", 0)) + 1
         sent_count = 0
@@ -223,11 +253,11 @@
             if sent_count >= stop_after:
                 break
             await asyncio.sleep(self.event_ms / MS_PER_SECOND)
-            writer.write(http_chunk(stream_event(number)))
+            writer.write(frame(stream_event(number)))
             await writer.drain()
             sent_count += 1
         if cut:
-            writer.write(http_chunk(stream_event(first + sent_count)[:7]))
+            writer.write(frame(stream_event(first + sent_count)[:7]))
             await writer.drain()
             await asyncio.sleep(self.event_ms / MS_PER_SECOND)
         elif end:
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -51,3 +51,25 @@
         answered = [body for _, body in await asyncio.gather(*sound[-50:]) if body]
         self.assertGreater(len(answered), 25)
         await asyncio.gather(*sound)
+
+    async def test_a_restarted_gateway_learns_what_the_others_block(self):
+        # After a rolling restart each gateway sent such requests on again.
+        fleet = await self.open_fleet(gateways_count=3)
+        async with asyncio.timeout(CONTACT_S * 3):
+            blocked = set()
+            while len(blocked) < len(fleet.gateways):
+                for index in range(len(fleet.gateways)):
+                    status, _ = await fleet.stream(index, COMMON_PART, CRASHING_PART)
+                    if status == 502:
+                        blocked.add(index)
+                    await asyncio.sleep(0.15)
+        crashes_count = len(fleet.crash_times_s())
+        for index in range(len(fleet.gateways)):
+            await fleet.stop_gateway(index)
+            fleet.start_gateway(index)
+            await fleet.wait_ready()
+            await asyncio.sleep(0.5)
+        for index in range(len(fleet.gateways)):
+            status, _ = await fleet.stream(index, COMMON_PART, "c", CRASHING_PART)
+            self.assertEqual(status, 502)
+        self.assertEqual(len(fleet.crash_times_s()), crashes_count)
