Do not take an unframed stream without an event for a whole answer

Callers could get an empty stream that looks complete: an answer without length or chunks ends with its connection, and a target that crashes before its first event ends it too. Cause: the end of the connection was the end of the answer, however little had come. Such a stream is lost, and goes on at another target where it may. Streams that end inside an event or by a reset were recognized already; tests show all three. Ruled out: framed answers (their end is explicit).

--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -85,6 +85,11 @@
         self._answered = False
         self._transport.write(data)
 
+    @property
+    def ends_answer(self):
+        """Whether the end of the connection is the only end of the current answer."""
+        return self._until_close
+
     async def head(self):
         """Return the ``AnswerHead`` of the next answer.
 
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -8,6 +8,7 @@
 from .._decisions.crash_suspects import RequestContent
 from .._decisions.sends import SHORTEST_SEND_MS
 from .errors import (
+    ConnectionLostError,
     FailedAnswerError,
     MalformedAnswerError,
     NotExecutedError,
@@ -215,6 +216,9 @@
             self._check_pace(target)
         if splitter.pending_bytes:
             raise MalformedAnswerError("the stream ended inside an event")
+        if connection.ends_answer and not self.has_data:
+            # A target that crashes before its first event ends its connection too.
+            raise ConnectionLostError("the connection ended before the first event")
         await self._answer.finish()
 
     async def _first_piece(self, connection):
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -200,6 +200,33 @@
         self.assertEqual(body.count(b"id:"), 2)
 
 
+class UnframedStreamTests(PathCase):
+    """A stream without length or chunks ends with its connection."""
+
+    async def test_a_whole_one_reaches_the_caller_whole(self):
+        fixture = await self.fixture("stream_unframed")
+        for path in ("/stream/a", "/once/a"):
+            status, _, body = await fixture.call(path, method="POST")
+            self.assertEqual((status, body.count(b"id:")), (200, 5))
+
+    async def test_a_broken_one_is_continued_at_another_target(self):
+        for behaviour in ("cut", "reset", "empty"):
+            with self.subTest(behaviour=behaviour):
+                fixture = await self.fixture(f"stream_unframed_{behaviour}", "stream")
+                for number in range(4):
+                    status, _, body = await fixture.call(
+                        "/stream/a", method="POST", request_id=f"r-{number}"
+                    )
+                    self.assertEqual((status, body.count(b"id:")), (200, 5))
+
+    async def test_a_broken_one_that_may_not_be_resumed_does_not_look_whole(self):
+        for behaviour in ("cut", "reset", "empty"):
+            with self.subTest(behaviour=behaviour):
+                fixture = await self.fixture(f"stream_unframed_{behaviour}")
+                _, _, body = await fixture.call("/once/a", method="POST")
+                self.assertIsNone(body)
+
+
 class CallerDisconnectTests(PathCase):
     async def test_the_send_ends_when_its_caller_disconnects(self):
         fixture = await self.fixture("slow")
