Answer a request that was read just before its idle connection closes

Cause: aiohttp handles a request two turns of the event loop after it has read it. Evidence: two tests that feed a request and close at once; before, the connection ended without an answer, now both get 200. The same cause elsewhere: the end of the process, which now closes a connection only when nothing is due on it, stops listening after that and waits until what was written is sent. Change: the connection itself records when bytes arrive (CallerConnection). A head that does not end is closed after header_timeout_ms, a setting that was read and not used. Ruled out: the time limit of the stop (streams that are at work until then are excused), answers that are being written (force_close closes after them).

--- a/src/waxwinghold/_gateway/caller_server.py
+++ b/src/waxwinghold/_gateway/caller_server.py
@@ -19,6 +19,7 @@
 MS_PER_SECOND = 1000
 BODY_READ_LIMIT_MS = 10_000.0  # Several times the slowest upload that meets a deadline.
 SWEEP_INTERVAL_MS = 1000.0
+FINISH_INTERVAL_MS = 50.0
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 # Limits of the HTTP parser; the configured limit is checked after parsing.
 PARSER_LIMIT_BYTES = 64 * 1024
@@ -72,94 +73,158 @@
         await self.response.prepare(self._request)
 
 
+class CallerConnection(web.RequestHandler):
+    """A caller's connection, which knows whether an answer is due on it.
+
+    ``aiohttp`` starts to handle a request some turns of the event loop after it has
+    read it. Until then the connection would look idle.
+
+    Args:
+        clock: The gateway's clock.
+
+    Attributes:
+        idle_since_ms: When the last answer ended, or the connection was opened.
+        requested_ms: When the first byte after that arrived; ``None`` if none did.
+        is_served: Whether a request is being handled.
+    """
+
+    __slots__ = ("_clock", "idle_since_ms", "requested_ms", "is_served")
+
+    def __init__(self, manager, *, clock, **options):
+        super().__init__(manager, **options)
+        self._clock = clock
+        self.idle_since_ms = clock.now_ms()
+        self.requested_ms = None
+        self.is_served = False
+
+    def data_received(self, data):
+        if self.requested_ms is None:
+            self.requested_ms = self._clock.now_ms()
+        super().data_received(data)
+
+    def begin_request(self):
+        """Record that a request is being handled."""
+        self.is_served = True
+
+    def end_request(self):
+        """Record that the request was answered."""
+        self.is_served = False
+        self.requested_ms = None
+        self.idle_since_ms = self._clock.now_ms()
+
+    def is_expired(self, limits):
+        """Return whether the caller exceeds its ``CallerLimits`` without a request."""
+        now_ms = self._clock.now_ms()
+        if self.requested_ms is None:
+            return now_ms - self.idle_since_ms > limits.idle_timeout_ms
+        waited_ms = now_ms - self.requested_ms
+        return not self.is_served and waited_ms > limits.header_timeout_ms
+
+    def close_transport(self):
+        """Close the connection once what was written has been sent.
+
+        ``close`` is not enough: it ends the task that reads requests but leaves the
+        connection open, so the caller's next request would never be read.
+        """
+        if self.transport is not None:
+            self.transport.close()
+
+
 class CallerServer:
     """Accepts callers' connections and passes their requests to the gateway.
 
     Args:
         gateway: The ``Gateway`` that serves the requests.
-
-    Attributes:
-        open_count: Number of requests being served.
     """
 
     def __init__(self, *, gateway):
         self._gateway = gateway
         self._clock = gateway.clock
-        # By connection; ``None`` while a request is being served.
-        self._idle_since_ms = {}
         self._server = None
         self._listener = None
-        self.open_count = 0
+
+    @property
+    def open_count(self):
+        """Return the number of connections on which an answer is due."""
+        return sum(
+            connection.requested_ms is not None for connection in self._connections()
+        )
 
     async def start(self, address):
         """Listen at ``address``, an ``(ip, port)`` pair."""
-        self._server = web.Server(
-            self._handle,
-            handler_cancellation=True,
-            access_log=None,
-            keepalive_timeout=3600,  # ``sweep`` applies the configured limit.
-            max_line_size=PARSER_LIMIT_BYTES,
-            max_field_size=PARSER_LIMIT_BYTES,
-        )
         loop = asyncio.get_running_loop()
-        self._listener = await loop.create_server(self._server, *address, backlog=512)
+        self._server = web.Server(self._handle, handler_cancellation=True)
+
+        def make_connection():
+            return CallerConnection(
+                self._server,
+                clock=self._clock,
+                loop=loop,
+                access_log=None,
+                keepalive_timeout=3600,  # ``sweep`` applies the configured limit.
+                max_line_size=PARSER_LIMIT_BYTES,
+                max_field_size=PARSER_LIMIT_BYTES,
+            )
+
+        self._listener = await loop.create_server(
+            make_connection, *address, backlog=512
+        )
 
     async def sweep(self):
-        """Close connections that stay idle beyond the limit, until cancelled."""
+        """Close connections of callers that exceed their limits, until cancelled."""
         while True:
             await self._clock.sleep_ms(SWEEP_INTERVAL_MS)
-            self._close_idle(self._gateway.limits)
+            self._close_expired(self._gateway.limits)
+
+    async def finish(self, *, until_ms):
+        """Answer what callers have sent, and close each connection that is idle.
 
-    def close_connections(self):
-        """Close idle connections now, and the others after their answers."""
-        busy = self._busy_connections()
-        for protocol in self._server.connections:
-            if protocol in busy:
-                protocol.close()
-            else:
-                _close_idle_connection(protocol)
+        New connections are accepted until nothing is left to answer.
+
+        Args:
+            until_ms: When to return in any case.
+        """
+        while self.open_count and self._clock.now_ms() < until_ms:
+            self.close_idle_connections()
+            await self._clock.sleep_ms(FINISH_INTERVAL_MS)
+        self._listener.close()
+        while self._connections() and self._clock.now_ms() < until_ms:
+            self.close_idle_connections()
+            await self._clock.sleep_ms(FINISH_INTERVAL_MS)
+
+    def close_idle_connections(self):
+        """Close the connections on which no answer is due."""
+        for connection in self._connections():
+            if connection.requested_ms is None:
+                connection.close_transport()
 
     def close(self):
         """Stop listening and close every connection."""
         if self._listener is None:
             return
         self._listener.close()
-        for protocol in self._server.connections:
-            _close_idle_connection(protocol)
+        for connection in self._connections():
+            connection.close_transport()
 
-    def _busy_connections(self):
-        return {
-            protocol
-            for protocol, since_ms in self._idle_since_ms.items()
-            if since_ms is None
-        }
+    def _connections(self):
+        return self._server.connections if self._server is not None else []
 
-    def _close_idle(self, limits):
-        now_ms = self._clock.now_ms()
-        connections = set(self._server.connections)
-        self._idle_since_ms = {
-            protocol: since_ms
-            for protocol, since_ms in self._idle_since_ms.items()
-            if protocol in connections
-        }
-        for protocol in connections:
-            since_ms = self._idle_since_ms.setdefault(protocol, now_ms)
-            if since_ms is not None and now_ms - since_ms > limits.idle_timeout_ms:
-                _close_idle_connection(protocol)
+    def _close_expired(self, limits):
+        for connection in self._connections():
+            if connection.is_expired(limits):
+                connection.close_transport()
 
     async def _handle(self, request):
-        protocol = request.protocol
+        connection = request.protocol
         arrived_ms = self._clock.now_ms()
-        self._idle_since_ms[protocol] = None
-        self.open_count += 1
+        connection.begin_request()
         answer = CallerAnswer(request=request, closing=self._gateway.is_stopping)
         try:
             await self._serve(request, answer, arrived_ms)
         except ConnectionError as error:
             log.info("caller disconnected", extra={"reason": repr(error)})
         finally:
-            self.open_count -= 1
-            self._idle_since_ms[protocol] = self._clock.now_ms()
+            connection.end_request()
         return answer.response
 
     async def _serve(self, request, answer, arrived_ms):
@@ -245,13 +310,3 @@
                 "retry_after_ms": getattr(error, "retry_after_ms", None),
             },
         )
-
-
-def _close_idle_connection(protocol):
-    """Close a connection that has no request.
-
-    ``protocol.close()`` is not enough: it ends the task that reads requests but
-    leaves the connection open, so the caller's next request would never be read.
-    """
-    if protocol.transport is not None:
-        protocol.transport.close()
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -344,10 +344,7 @@
         )
         await self.clock.sleep_ms(STOP_ACCEPT_MS)
         self._rejecting = True
-        self._caller_server.close_connections()
-        while self._caller_server.open_count and self.clock.now_ms() < end_ms:
-            await self.clock.sleep_ms(TICK_INTERVAL_MS)
-        await self.clock.sleep_ms(TICK_INTERVAL_MS)
+        await self._caller_server.finish(until_ms=end_ms)
 
 
 def _content(call, *, service, customer_name):
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -7,8 +7,9 @@
 
 from waxwinghold._decisions import sends
 from waxwinghold._gateway import sending
+from waxwinghold._gateway.model import CallerLimits
 
-from .support.gateway import KEY, GatewayFixture, configuration, standard_routes
+from .support.gateway import HOST, KEY, GatewayFixture, configuration, standard_routes
 
 TIMEOUT_MS = 400
 RECOVERY_S = 12.0  # The time that the first site allows for recovery.
@@ -349,6 +350,46 @@
         async with asyncio.timeout(6):
             await fixture.task
 
+    async def _request_while(self, close):
+        """Call ``close`` as a request was read but is not being served yet.
+
+        Returns:
+            The number of workers that got it, and the answer's bytes.
+        """
+        fixture = await self.fixture("whole")
+        reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
+        server = fixture.gateway._caller_server
+        async with asyncio.timeout(2):
+            while not server._server.connections:
+                await asyncio.sleep(0.01)
+        (protocol,) = server._server.connections
+        head = f"GET /safe/a HTTP/1.1\r\nHost: {HOST}\r\nCredential: {KEY}\r\n"
+        protocol.data_received(head.encode() + b"Attempt-Id: r-1\r\n\r\n")
+        close(fixture)
+        async with asyncio.timeout(2):
+            data = await reader.read(1000)
+        writer.close()
+        return fixture.runs_count(), data
+
+    async def test_a_request_read_just_before_idle_connections_close_is_answered(self):
+        # A stopping gateway closed the connection under a request that it had sent on.
+        def close(fixture):
+            fixture.gateway._begin_stop()
+            fixture.gateway._caller_server.close_idle_connections()
+
+        runs_count, data = await self._request_while(close)
+        self.assertEqual(runs_count, 1)
+        self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
+
+    async def test_a_request_on_a_connection_at_its_idle_limit_is_answered(self):
+        def close(fixture):
+            server = fixture.gateway._caller_server
+            server._close_expired(CallerLimits(idle_timeout_ms=-1.0))
+
+        runs_count, data = await self._request_while(close)
+        self.assertEqual(runs_count, 1)
+        self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
+
     async def test_an_idle_connection_is_closed_when_the_gateway_stops(self):
         fixture = await self.fixture("whole")
         reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
