--- a/src/waxwinghold_soak/callers.py
+++ b/src/waxwinghold_soak/callers.py
@@ -87,10 +87,10 @@
         except aiohttp.ClientError:
             call.complete = False
         call.ended_at = loop.time()
-        disturbed_at = self._program.disturbed_at
-        call.undisturbed = (
-            not self._program.paused
-            and disturbed_at < call.sent_at - DISTURBANCE_EXCUSE_S
-            and self._program.starts_count == call.incarnation
-        )
+        program = self._program
+        is_same = not program.paused and program.starts_count == call.incarnation
+        calm_until = call.sent_at - DISTURBANCE_EXCUSE_S
+        call.undisturbed = is_same and program.disturbed_at < calm_until
+        call.links_calm = self._checker.timeline.link_fault_until < call.sent_at
+        call.unharmed = is_same and program.unplanned_at < calm_until
         self._checker.check_call(call)
--- a/src/waxwinghold_soak/checker.py
+++ b/src/waxwinghold_soak/checker.py
@@ -14,6 +14,7 @@
 # Possible delay between an event and its record, as two event loops share a busy
 # host.
 TIMING_TOLERANCE_S = 0.5
+LOSS_SLACK_S = 0.2
 RECOVERED_RATIO_MIN = 0.9
 
 
@@ -36,6 +37,8 @@
         undisturbed: Whether the gateway was not paused, and neither started nor
             sent a signal other than SIGHUP, from ``DISTURBANCE_EXCUSE_S`` before
             the request to its end.
+        unharmed: The same, but the gateway may have been sent SIGTERM.
+        links_calm: Whether no link to a worker was disturbed meanwhile.
         is_excused: Whether a missing answer is not the gateway's fault: the
             connection was not established, or the caller timed out.
     """
@@ -54,6 +57,8 @@
     body: bytes = b""
     version: int | None = None
     undisturbed: bool = False
+    unharmed: bool = False
+    links_calm: bool = False
     is_excused: bool = False
 
 
@@ -70,12 +75,15 @@
         leaving_at: When each worker was listed as draining or removed, by name.
         store_fault_until: When the last fault of the store ended; infinity
             while one lasts.
+        link_fault_until: When the last fault of a connection to a worker ended;
+            infinity while one lasts.
     """
 
     acknowledged_at: dict = field(default_factory=dict)
     revoked_at: dict = field(default_factory=dict)
     leaving_at: dict = field(default_factory=dict)
     store_fault_until: float = float("-inf")
+    link_fault_until: float = float("-inf")
 
 
 class GuaranteeChecker:
@@ -118,13 +126,7 @@
                 self._add_violation(
                     "REFUSED", call, f"status {call.status} although it ran"
                 )
-            lost = call.status is None and call.undisturbed and not call.is_excused
-            if lost and call.request_id in arrivals:
-                self._add_violation(
-                    "LOST",
-                    call,
-                    "reached a worker, then the connection closed without an answer",
-                )
+            self._check_lost(call, arrivals.get(call.request_id, ()))
             self._check_revoked(call, arrivals)
             self._check_leaving(call, arrivals)
 
@@ -150,6 +152,27 @@
                 f"{counts.most_common(9)}"
             )
 
+    def _check_lost(self, call, arrivals):
+        """Check that a gateway ends no request that it has read, also when it stops."""
+        if call.complete or not call.unharmed or call.is_excused:
+            return
+        if call.status is not None:
+            self._check_broken_stream(call, arrivals)
+            return
+        held_s = call.ended_at - call.sent_at
+        if arrivals or held_s > LOSS_SLACK_S + TIMING_TOLERANCE_S:
+            self._add_violation(
+                "LOST",
+                call,
+                f"reached {len(arrivals)} workers, and the connection closed "
+                f"without an answer after {held_s:.2f} s",
+            )
+
+    def _check_broken_stream(self, call, arrivals):
+        is_sound = arrivals and not any(arrival.broken for arrival in arrivals)
+        if is_sound and call.links_calm:
+            self._add_violation("LOST", call, "the gateway broke off a sound stream")
+
     def _check_answer(self, call):
         if not call.sealed:
             self._add_violation(
--- a/src/waxwinghold_soak/faults.py
+++ b/src/waxwinghold_soak/faults.py
@@ -84,6 +84,20 @@
     await gateway.start()
 
 
+@fault("gateways stopped in turn while settings and routes change")
+async def _gateways_stopped_in_turn(soak_run, rng):
+    for gateway in rng.sample(soak_run.gateways, len(soak_run.gateways)):
+        if not gateway.running or gateway.paused or gateway.stopping:
+            continue
+        gateway.terminate()
+        await asyncio.sleep(rng.uniform(0.0, 3.0))
+        gateway.reload()
+        soak_run.operator.publish()
+        await gateway.wait_until_ended()
+        await gateway.start()
+        await asyncio.sleep(STARTUP_LIMIT_S)
+
+
 @fault("gateway frozen")
 async def _gateway_frozen(soak_run, rng):
     await _pause(rng.choice(soak_run.gateways), rng.choice([0.05, 0.4, 2.0, 6.5]))
@@ -146,10 +160,11 @@
     proxy = rng.choice(soak_run.worker_proxies)
     proxy.fault = rng.choice(list(ProxyFault))
     proxy.delay_ms = rng.choice([5.0, 50.0, 300.0])
-    await asyncio.sleep(rng.uniform(0.2, 3.0))
-    if rng.random() < 0.5:
-        proxy.reset()
-    proxy.fault = ProxyFault.NONE
+    with soak_run.link_fault():
+        await asyncio.sleep(rng.uniform(0.2, 3.0))
+        if rng.random() < 0.5:
+            proxy.reset()
+        proxy.fault = ProxyFault.NONE
 
 
 @fault("worker sick")
--- a/src/waxwinghold_soak/processes.py
+++ b/src/waxwinghold_soak/processes.py
@@ -23,6 +23,7 @@
         starts_count: Number of starts so far; each start is a new incarnation.
         disturbed_at: When the process was last started or sent a signal other
             than SIGHUP, in seconds of the event loop's clock.
+        unplanned_at: The same without SIGTERM: when it was last disturbed unplanned.
         stopping: Whether the current process was asked to stop.
         paused: Whether the current process is paused by SIGSTOP.
         exit_statuses: Results of ``wait_until_ended``.
@@ -34,6 +35,7 @@
         self.name = settings["name"]
         self.starts_count = 0
         self.disturbed_at = float("-inf")
+        self.unplanned_at = float("-inf")
         self.stopping = False
         self.paused = False
         self.exit_statuses = []
@@ -118,9 +120,11 @@
             await self._process.wait()
 
     def _signal(self, number):
-        self._record_disturbance()
+        self._record_disturbance(planned=number == signal.SIGTERM)
         if self.running:
             self._process.send_signal(number)
 
-    def _record_disturbance(self):
+    def _record_disturbance(self, *, planned=False):
         self.disturbed_at = asyncio.get_running_loop().time()
+        if not planned:
+            self.unplanned_at = self.disturbed_at
--- a/src/waxwinghold_soak/soak_run.py
+++ b/src/waxwinghold_soak/soak_run.py
@@ -5,6 +5,7 @@
 import random
 import socket
 import tempfile
+from collections import Counter
 from pathlib import Path
 
 from waxwinghold_standins.fleet_rank_server import FleetRankServer
@@ -53,7 +54,7 @@
         self._duration_s = duration_s
         self._settings = settings or {}
         self._network_prefix = f"127.{20 + seed % 200}"
-        self._active_store_faults_count = 0
+        self._active_faults = Counter()
         self.faults = []
         self.timeline = OperatorTimeline()
         self.store = FleetStore()
@@ -83,19 +84,31 @@
 
     @contextlib.contextmanager
     def store_fault(self):
-        """Mark the ``with`` block as a fault of the store, which excuses delays.
+        """Mark the ``with`` block as a fault of the store, which excuses delays."""
+        with self._fault_period("store_fault_until"):
+            yield
+
+    @contextlib.contextmanager
+    def link_fault(self):
+        """Mark the ``with`` block as a fault of links, which excuses broken streams."""
+        with self._fault_period("link_fault_until"):
+            yield
+
+    @contextlib.contextmanager
+    def _fault_period(self, end_field):
+        """Record the end of the block in the timeline; infinity while it lasts.
 
         Blocks may overlap; the end of the last one is recorded.
         """
-        self._active_store_faults_count += 1
-        self.timeline.store_fault_until = float("inf")
+        self._active_faults[end_field] += 1
+        setattr(self.timeline, end_field, float("inf"))
         try:
             yield
         finally:
-            self._active_store_faults_count -= 1
-            if not self._active_store_faults_count:
+            self._active_faults[end_field] -= 1
+            if not self._active_faults[end_field]:
                 now = asyncio.get_running_loop().time()
-                self.timeline.store_fault_until = now
+                setattr(self.timeline, end_field, now)
 
     async def replace_worker(self, index, *, announced):
         """Replace a listed worker by a new one.
--- a/src/waxwinghold_soak/workers.py
+++ b/src/waxwinghold_soak/workers.py
@@ -19,12 +19,14 @@
         worker: Name of the worker.
         at: When it arrived, in seconds of the event loop's clock.
         ran: Whether the worker started to run it.
+        broken: Whether the worker failed the request or broke off its answer.
     """
 
     request_id: str
     worker: str
     at: float
     ran: bool
+    broken: bool = False
 
 
 class SoakWorker(FleetWorker):
@@ -52,14 +54,21 @@
         self.body = expected_body(request_id, request.path)
         is_stream = request.path.startswith(("/stream/", "/once/"))
         self.behaviour = "stream" if is_stream else "whole"
-        if self._random.random() < self.failure_ratio:
+        is_broken = self._random.random() < self.failure_ratio
+        if is_broken:
             faults = STREAM_FAULTS if is_stream else FAULTS
             self.behaviour = self._random.choice(faults)
         try:
             return await super().handle(request, writer)
         finally:
             ran = request_id in self.runs[earlier_runs_count:]
-            arrival = Arrival(request_id=request_id, worker=self.name, at=at, ran=ran)
+            arrival = Arrival(
+                request_id=request_id,
+                worker=self.name,
+                at=at,
+                ran=ran,
+                broken=is_broken,
+            )
             self.arrivals.append(arrival)
 
 
