Meet targets that announce that they leave, and that ask for pauses

One decision, _decisions/target_signals.py: both are kept by the target's incarnation, in bounded memory, and survive a list that loses the target and has it again. A target is checked as it is chosen and once more just before the bytes are sent; a request that meets a pause of all targets, also one that waits, is rejected at once with the time at which the first is back, spread over 0.5 s. The other gateways avoid a leaving target for a second at a time, at most a quarter of a service, so that a forged word empties none. A request that may have run no longer gets the 503 of a missing further target. Ruled out: ejection and suspicion (a pause is no failure), holding callers for the pause. Not built: the rank agents' part in a leaving rank.

--- a/src/waxwinghold/_decisions/waiting.py
+++ b/src/waxwinghold/_decisions/waiting.py
@@ -366,6 +366,10 @@
     def __len__(self):
         return len(self._entries)
 
+    def entries(self):
+        """Return the entries that wait."""
+        return list(self._entries)
+
     def arrive(self, entry, *, now_ms):
         """Decide about a request that asks for a slot.
 
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -1,16 +1,20 @@
 """The queue of requests that wait for a free slot at the targets of a service."""
 
 import asyncio
+import random
 from dataclasses import dataclass
 
+from .._decisions.target_signals import shortest_pause_ms
 from .._decisions.waiting import (
     FirstAnswerTime,
     LineEntry,
     ServiceState,
     WaitingLine,
 )
-from .errors import NoFreeSlotError, NoTargetError
+from .errors import NoFreeSlotError, NoTargetError, PausedTargetsError
 
+# Callers that come back after a pause arrive over this time.
+PAUSE_SPREAD_MS = 500.0
 NO_TARGET_RETRY_AFTER_MS = 500.0  # About the time it takes to replace a lost target.
 MS_PER_SECOND = 1000
 
@@ -50,6 +54,7 @@
         self, *, clock, service, target_pool, selection_policy, admission_policy
     ):
         self.service = service
+        self._rng = random.Random()
         self.first_answer_time = FirstAnswerTime()
         self._clock = clock
         self._target_pool = target_pool
@@ -75,9 +80,11 @@
         Raises:
             NoFreeSlotError: The request is rejected.
             NoTargetError: The service has no target outside ``tried``.
+            PausedTargetsError: All targets outside ``tried`` asked for a pause.
         """
         now_ms = self._clock.now_ms()
         self._require_target(tried)
+        self._require_unpaused(tried, now_ms)
         future = asyncio.get_running_loop().create_future()
         slot = Slot(request=request, tried=tried, future=future)
         decision = self._line.arrive(slot, now_ms=now_ms)
@@ -121,6 +128,8 @@
 
     def serve_queued(self):
         """Give free slots to the queued requests, in the order of the policy."""
+        if len(self._target_pool.signals):
+            self._reject_paused(self._clock.now_ms())
         for slot, target in self._line.serve(now_ms=self._clock.now_ms()):
             _take(slot, target)
 
@@ -136,6 +145,38 @@
                 retry_after_ms=NO_TARGET_RETRY_AFTER_MS,
             )
 
+    def _require_unpaused(self, tried, now_ms):
+        """Reject a request that all targets have asked not to get now."""
+        error = self._pause_error(tried, now_ms)
+        if error is not None:
+            raise error
+
+    def _reject_paused(self, now_ms):
+        """Reject the queued requests that all targets have asked not to get now."""
+        for slot in self._line.entries():
+            error = self._pause_error(slot.tried, now_ms)
+            if error is not None and not slot.future.done():
+                self._line.withdraw(slot)
+                slot.future.set_exception(error)
+
+    def _pause_error(self, tried, now_ms):
+        pause_ms = shortest_pause_ms(
+            [
+                target.incarnation
+                for target in self._target_pool.of_service(self.service)
+                if target.listing.name not in tried
+            ],
+            signals=self._target_pool.signals,
+            now_ms=now_ms,
+        )
+        if pause_ms is None:
+            return None
+        spread_ms = self._rng.uniform(0.0, PAUSE_SPREAD_MS)
+        return PausedTargetsError(
+            f'all targets of service "{self.service}" asked for a pause',
+            retry_after_ms=pause_ms + spread_ms,
+        )
+
     def _no_free_slot(self, reason, request):
         retry_after_ms = self.retry_after_ms(end_ms=request.end_ms)
         return NoFreeSlotError(reason, retry_after_ms=retry_after_ms)
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -10,10 +10,13 @@
     CrashingRequestError,
     FailedAnswerError,
     NoFreeSlotError,
+    NoTargetError,
     NotExecutedError,
+    PausedTargetsError,
     SendError,
     SilentTargetError,
     TimedOutError,
+    WithdrawnTargetError,
 )
 from .model import RequestKind
 from .sending import AnswerProgress, SendAttempt, stream_gap_ms
@@ -64,7 +67,7 @@
         while True:
             try:
                 slot = await self._acquire_slot()
-            except NoFreeSlotError as error:
+            except (NoFreeSlotError, NoTargetError, PausedTargetsError) as error:
                 raise self._error_without_slot(error) from error
             failure = await self._send(slot)
             if failure is None:
@@ -119,6 +122,10 @@
         )
         try:
             await send.run(target)
+        except WithdrawnTargetError as error:
+            self._sends_count -= 1  # Nothing was sent, and no target rejected it.
+            log.info("send failed", extra=self._failure_details(target, error))
+            return error
         except SendError as error:
             self._record_failure(target, send, error)
             return error
@@ -139,21 +146,22 @@
             target.record_failure(now_ms=now_ms)
         if error.code == "connection_lost":
             self._record_lost_connection(target, send, now_ms)
-        log.info(
-            "send failed",
-            extra={
-                "request": self._call.request_id,
-                "target": target.listing.name,
-                "code": error.code,
-                "reason": str(error),
-                "ran": error.ran.value,
-                "left_ms": round(self._left_ms()),
-                "answer_begun": send.has_head,
-                "answer_data": send.has_data,
-                "group_stalled": target.is_stalled(now_ms),
-                "shared_parts": self._call.shared_parts,
-            },
-        )
+        details = self._failure_details(target, error)
+        details["answer_begun"] = send.has_head
+        details["answer_data"] = send.has_data
+        details["group_stalled"] = target.is_stalled(now_ms)
+        details["shared_parts"] = self._call.shared_parts
+        log.info("send failed", extra=details)
+
+    def _failure_details(self, target, error):
+        return {
+            "request": self._call.request_id,
+            "target": target.listing.name,
+            "code": error.code,
+            "reason": str(error),
+            "ran": error.ran.value,
+            "left_ms": round(self._left_ms()),
+        }
 
     def _record_lost_connection(self, target, send, now_ms):
         # A group that makes no steps begins no requests: it cuts off those that it has.
--- a/src/waxwinghold/_gateway/codec.py
+++ b/src/waxwinghold/_gateway/codec.py
@@ -64,12 +64,17 @@
         load: ``(running, waiting)`` counts of the target, or ``None``.
         culprit: Name of another target that caused a rejection, or an empty
             string.
+        leaving: Whether the target announces that it leaves.
+        pause_ms: How long in milliseconds the target that rejected the request wants
+            no further ones; ``None`` if it does not say.
     """
 
     request_id: str | None
     executed: bool
     load: tuple[int, int] | None
     culprit: str
+    leaving: bool = False
+    pause_ms: float | None = None
 
 
 class MessageCodec(abc.ABC):
--- a/src/waxwinghold/_gateway/errors.py
+++ b/src/waxwinghold/_gateway/errors.py
@@ -30,6 +30,14 @@
     code = "connection_lost"
 
 
+class WithdrawnTargetError(SendError):
+    """The target asked for no more requests before this one was sent."""
+
+    code = "target_withdrawn"
+    ran = Ran.NOT_RUN
+    blames_target = False
+
+
 class MalformedAnswerError(SendError):
     """The target sent bytes that are no valid answer to this request."""
 
@@ -106,6 +114,13 @@
     status = 503
 
 
+class PausedTargetsError(RequestError):
+    """All targets of the service have asked for a pause."""
+
+    code = "targets_paused"
+    status = 503
+
+
 class StoppingError(RequestError):
     """This gateway is stopping."""
 
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -26,6 +26,8 @@
         waiting: Requests in the sender's queues, by service.
         suspects_version: Version of what the sender knows about crashes of targets;
             0 if that is nothing.
+        leaving: Targets, with their incarnations, that announced to the sender a short
+            while ago that they leave.
     """
 
     format: int
@@ -37,6 +39,7 @@
     counts: dict[str, int]
     waiting: dict[str, int]
     suspects_version: int = 0
+    leaving: list[str] = []
 
 
 class RankNotice(msgspec.Struct, array_like=True, frozen=True, tag="rank"):
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -164,6 +164,8 @@
         if previous is None or previous.counts != notice.counts:
             self._count_peer_requests()
         self._suspect_exchange.on_version(ip, notice.suspects_version)
+        if notice.leaving:
+            self._target_pool.avoid_leaving(notice.leaving)
 
     def _interval_ms(self):
         return max(
@@ -184,7 +186,12 @@
             for target in self._target_pool
             if target.in_flight_count and not target.has_recent_notice(now_ms=now_ms)
         }
-        state = (counts, self._waiting_counts(), self._suspects.version)
+        state = (
+            counts,
+            self._waiting_counts(),
+            self._suspects.version,
+            self._target_pool.signals.told_leaving(now_ms=now_ms),
+        )
         self._quiet_rounds_count += 1
         if (
             state == self._last_state
@@ -205,6 +212,7 @@
             counts=counts,
             waiting=state[1],
             suspects_version=state[2],
+            leaving=state[3],
         )
         data = encoder.encode(notice)
         if len(data) > LIMIT_BYTES:
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -14,6 +14,7 @@
     NotExecutedError,
     SilentTargetError,
     SlowTargetError,
+    WithdrawnTargetError,
 )
 from .events import EventSplitter, EventTooLongError
 from .model import RequestKind
@@ -128,15 +129,17 @@
         connection = await target.connections.acquire(
             fresh=not route.repeatable, limit_ms=self._left_ms()
         )
+        if not target.accepts_requests(now_ms=self._clock.now_ms()):
+            target.connections.release(connection)
+            raise WithdrawnTargetError("the target wants no more requests")
         try:
             # If the process was frozen until now, its configuration may be outdated.
             self._gateway.check_sendable(self._admitted)
             self.may_have_arrived = True
             self._sent_ms = self._clock.now_ms()
             connection.send(self._request_bytes(target))
-            head, metadata = await self._head(connection)
+            head, metadata = await self._head(target, connection)
             self.has_head = True
-            self._record_load(target, metadata)
             if not metadata.executed:
                 await self._within(connection.whole_body(), SHORTEST_SEND_MS)
                 raise NotExecutedError(status=head.status, culprit=metadata.culprit)
@@ -161,12 +164,14 @@
     def _left_ms(self):
         return self._admitted.end_ms - self._clock.now_ms()
 
-    async def _head(self, connection):
+    async def _head(self, target, connection):
         """Return the head and the metadata of the answer to this request."""
         while True:
             head = await self._first_piece(connection)
             metadata = self._gateway.codec.read_answer(head)
+            self._record_signals(target, metadata)
             if metadata.request_id in (None, self._call.request_id):
+                self._record_load(target, metadata)
                 return head, metadata
             # A second, late answer to an earlier request on this connection.
             log.warn(
@@ -295,6 +300,21 @@
             now_ms=now_ms,
         )
 
+    def _record_signals(self, target, metadata):
+        signals, now_ms = self._gateway.target_pool.signals, self._clock.now_ms()
+        details = {"request": self._call.request_id, "target": target.listing.name}
+        if metadata.leaving and signals.record_leaving(
+            target.incarnation, now_ms=now_ms
+        ):
+            self._gateway.metrics.count("leaving_targets")
+            log.info("target announced that it leaves", extra=details)
+        if metadata.pause_ms is not None and signals.record_pause(
+            target.incarnation, pause_ms=metadata.pause_ms, now_ms=now_ms
+        ):
+            self._gateway.metrics.count("paused_targets")
+            details["pause_ms"] = round(metadata.pause_ms)
+            log.info("target asked for a pause", extra=details)
+
     def _record_load(self, target, metadata):
         if metadata.load is not None:
             running, waiting = metadata.load
--- a/src/waxwinghold/_gateway/targets.py
+++ b/src/waxwinghold/_gateway/targets.py
@@ -6,6 +6,7 @@
 import logbook
 import msgspec
 
+from .._decisions.target_signals import TargetSignals, credible_hints
 from .connection_pool import ConnectionPool
 from .model import TargetState
 
@@ -21,6 +22,8 @@
 # the counts of the other gateways lag a little.
 FULL_SHARE = 0.7
 FAILURE_SMOOTHING_RATIO = 0.2  # Averages over about the last five answers.
+# Longer than the interval at which gateways repeat it.
+LEAVING_HINT_MS = 1000.0
 STALL_LIMIT_MS = 450.0  # One step of a full batch takes about 130 ms.
 RANK_STATE_AGE_LIMIT_MS = 1000.0  # Allows for several lost notices of a rank.
 REPORTED_LOAD_AGE_LIMIT_MS = 400.0  # Reported loads lag by some hundred milliseconds.
@@ -98,6 +101,7 @@
 
     Args:
         listing: The ``Target`` that the platform lists.
+        signals: The ``TargetSignals`` of all targets.
 
     Attributes:
         connections: The target's ``ConnectionPool``.
@@ -115,8 +119,10 @@
         answered_send_ms: When the latest request that it answered was sent.
     """
 
-    def __init__(self, *, clock, listing):
+    def __init__(self, *, clock, listing, signals):
         self.listing = listing
+        self.signals = signals
+        self._incarnation = f"{listing.name}/{listing.born_ms}"
         self.connections = ConnectionPool(clock=clock, address=listing.address)
         self._clock = clock
         # Slots acquired (+1) and released (-1) by this gateway since the last notice.
@@ -135,7 +141,7 @@
     @property
     def incarnation(self):
         """Return the target's name and start time: a restart makes another one."""
-        return f"{self.listing.name}/{self.listing.born_ms}"
+        return self._incarnation
 
     @property
     def pace(self):
@@ -192,8 +198,14 @@
 
     def is_usable(self, *, now_ms):
         """Return whether the target can get a request now."""
-        ready = self.listing.state is TargetState.READY
-        return ready and now_ms >= self.avoid_until_ms and not self.is_stalled(now_ms)
+        if now_ms < self.avoid_until_ms or not self.accepts_requests(now_ms=now_ms):
+            return False
+        return not self.is_stalled(now_ms)
+
+    def accepts_requests(self, *, now_ms):
+        """Return whether neither the list nor the target itself forbids requests."""
+        is_ready = self.listing.state is TargetState.READY
+        return is_ready and self.signals.may_send(self.incarnation, now_ms=now_ms)
 
     def is_closed(self, *, now_ms):
         """Return whether the target is not expected to work within a second.
@@ -202,6 +214,8 @@
         """
         if self.listing.state is not TargetState.READY:
             return True
+        if self.signals.is_leaving(self.incarnation, now_ms=now_ms):
+            return True
         notice = self.rank_notice
         has_state = notice is not None and not self.is_silent(now_ms)
         return has_state and not notice.is_open
@@ -316,6 +330,7 @@
     Attributes:
         listeners: Functions that are called when a slot may have become free.
         grouped_services: Names of the services whose targets are ranks of groups.
+        signals: The ``TargetSignals`` of all targets, also of those no longer listed.
     """
 
     def __init__(self, *, clock):
@@ -325,6 +340,7 @@
         self._targets_by_address = {}
         self.listeners = []
         self.grouped_services = frozenset()
+        self.signals = TargetSignals()
         self._paces = {}
         self._group_positions = {}
         self._stalled_groups = {}
@@ -437,6 +453,24 @@
         if is_changed:
             self.notify_listeners()
 
+    def avoid_leaving(self, incarnations):
+        """Avoid targets for a moment because another gateway calls them leaving.
+
+        Args:
+            incarnations: Their names with their incarnations.
+        """
+        now_ms = self._clock.now_ms()
+        hinted_by_service = {}
+        for incarnation in incarnations:
+            target = self._targets.get(incarnation.partition("/")[0])
+            if target is not None and target.incarnation == incarnation:
+                hinted = hinted_by_service.setdefault(target.listing.service, [])
+                hinted.append(target.listing.name)
+        for service, hinted in hinted_by_service.items():
+            targets_count = len(self._targets_by_service.get(service, ()))
+            for name in credible_hints(hinted, targets_count=targets_count):
+                self._targets[name].avoid(now_ms=now_ms, pause_ms=LEAVING_HINT_MS)
+
     def _log_stall(self, target, now_ms):
         """Log that a group stalled or resumed, once for all of its ranks."""
         stalled = target.is_stalled(now_ms)
@@ -480,7 +514,9 @@
         if target is None or restarted:
             if target is not None:
                 target.connections.close()
-            self._targets[name] = TrackedTarget(clock=self._clock, listing=listing)
+            self._targets[name] = TrackedTarget(
+                clock=self._clock, listing=listing, signals=self.signals
+            )
             details = {"target": name, "service": listing.service}
             log.info("target listed", extra=details)
             return
--- a/src/waxwinghold/platform/codec.py
+++ b/src/waxwinghold/platform/codec.py
@@ -19,7 +19,10 @@
 LOAD = b"server-load"
 PROMPT_PARTS = b"prompt-prefix"
 SHARED_PARTS_LIMIT_COUNT = 16  # Callers send two or three.
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 MISDIRECTED = 421
+UNAVAILABLE = 503
 # Never passed on from the caller: the gateway sets these headers itself, except the
 # key, which workers do not get.
 OWN_HEADERS = frozenset(
@@ -73,6 +76,8 @@
             executed=not is_rejected,
             load=_load(head.get(LOAD)),
             culprit=head.get(CULPRIT) or "",
+            leaving=(head.get(LEAVING) or "").strip() == "1",
+            pause_ms=_pause_ms(head) if is_rejected else None,
         )
 
     def answer_headers(self, head):
@@ -136,6 +141,21 @@
     return tuple(name for name in names if name)[:SHARED_PARTS_LIMIT_COUNT]
 
 
+def _pause_ms(head):
+    """Return the pause that a rejecting worker asks for in ms, or ``None``."""
+    text = head.get(RETRY_AFTER)
+    if head.status != UNAVAILABLE or text is None:
+        return None
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = -1.0
+    if not 0 <= seconds < float("inf"):
+        log.warn("malformed pause header", extra={"value": text[:40]})
+        return None
+    return seconds * MS_PER_SECOND
+
+
 def _load(text):
     """Return ``(running, waiting)`` of a load header, or ``None`` if not valid."""
     if text is None:
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -22,6 +22,8 @@
         on_restart: Called with the worker as it listens again, under a new name.
 
     Attributes:
+        leaving: Whether every answer announces that the worker leaves.
+        pause_text: Value of ``Retry-After`` in rejections; empty for none.
         body: Body of an answer that is not a stream.
         runs: ``Attempt-Id`` of each request that was run, in the order of arrival.
         requests: Every ``RawRequest`` that arrived.
@@ -49,6 +51,8 @@
         self.crash_times_s = []
         self.previous_name = name
         self._restart_task = None
+        self.leaving = False
+        self.pause_text = ""
         self.name = name
         self.behaviour = behaviour
         self.events_count = events_count
@@ -105,8 +109,12 @@
             ("Attempt-Id", attempt_id),
             (SEAL_HEADER, f"seal.{self.name}"),
             ("Server-Load", f"{self.running_count},0,6"),
+            *self._leaving_headers(),
         ]
 
+    def _leaving_headers(self):
+        return [("Server-Leaving", "1")] if self.leaving else []
+
     async def _answer_whole(self, request, writer):
         writer.write(answer_bytes(200, self.record_run(request), self.body))
         return True
@@ -127,7 +135,10 @@
 
     async def _answer_shed(self, request, writer):
         """Reject the request without running it."""
-        writer.write(answer_bytes(503, [("Not-Executed", "1")]))
+        headers = [("Not-Executed", "1"), *self._leaving_headers()]
+        if self.pause_text:
+            headers.append(("Retry-After", self.pause_text))
+        writer.write(answer_bytes(503, headers))
         return True
 
     async def _answer_reset(self, request, writer):
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -254,6 +254,94 @@
         self.assertLessEqual(runs, 4)
 
 
+class LeavingTargetTests(PathCase):
+    """A target announces in its answers that it leaves; the list does not yet."""
+
+    async def test_it_gets_no_request_after_its_announcement(self):
+        fixture = await self.fixture("whole", "whole", "whole")
+        fixture.workers[0].leaving = True
+        for number in range(30):
+            status, _, _ = await fixture.call("/safe/a", request_id=f"r-{number}")
+            self.assertEqual(status, 200)
+        self.assertEqual(len(fixture.workers[0].requests), 1)
+
+    async def test_rejections_and_streams_announce_it_too(self):
+        for behaviour in ("shed", "stream"):
+            with self.subTest(behaviour=behaviour):
+                fixture = await self.fixture(behaviour, "stream")
+                fixture.workers[0].leaving = True
+                for number in range(12):
+                    await fixture.call(
+                        "/stream/a", method="POST", request_id=f"r-{number}"
+                    )
+                self.assertEqual(len(fixture.workers[0].requests), 1)
+
+    async def test_a_new_target_at_its_address_is_welcome(self):
+        fixture = await self.fixture("whole")
+        worker = fixture.workers[0]
+        worker.leaving = True
+        await fixture.call("/safe/a")
+        worker.leaving = False
+        fixture.store.delete("servers/w0")
+        worker.name = "w0-again"
+        fixture.register_worker(worker)
+        async with asyncio.timeout(3):
+            while (await fixture.call("/safe/a"))[0] != 200:
+                await asyncio.sleep(0.02)
+
+    async def test_it_stays_out_if_the_list_loses_it_and_has_it_again(self):
+        fixture = await self.fixture("whole", "whole")
+        worker = fixture.workers[0]
+        worker.leaving = True
+        while not worker.requests:
+            await fixture.call("/safe/a")
+        fixture.store.delete("servers/w0")
+        await asyncio.sleep(0.3)
+        fixture.register_worker(worker)
+        await asyncio.sleep(0.3)
+        for number in range(10):
+            await fixture.call("/safe/a", request_id=f"r-{number}")
+        self.assertEqual(len(worker.requests), 1)
+
+
+class PausedTargetTests(PathCase):
+    """A target rejects requests and asks for a pause."""
+
+    async def test_it_gets_no_request_until_the_pause_is_over(self):
+        fixture = await self.fixture("shed", "whole")
+        fixture.workers[0].pause_text = "0.8"
+        loop = asyncio.get_running_loop()
+        while not fixture.workers[0].requests:
+            self.assertEqual((await fixture.call("/safe/a"))[0], 200)
+        first_s = fixture.workers[0].requests[0].arrived_s
+        while loop.time() < first_s + 0.7:
+            self.assertEqual((await fixture.call("/safe/a"))[0], 200)
+            await asyncio.sleep(0.01)
+        self.assertEqual(len(fixture.workers[0].requests), 1)
+
+    async def test_if_all_pause_callers_are_told_at_once_when_the_first_is_back(self):
+        fixture = await self.fixture("shed", "shed")
+        fixture.workers[0].pause_text = "5"
+        fixture.workers[1].pause_text = "3"
+        await fixture.call("/unsafe/a", method="POST")
+        loop = asyncio.get_running_loop()
+        started_s = loop.time()
+        status, headers, _ = await fixture.call("/unsafe/b", method="POST")
+        self.assertEqual(status, 503)
+        self.assertLess(loop.time() - started_s, 0.2)
+        self.assertGreater(float(headers["Retry-After"]), 2.0)
+        self.assertLess(float(headers["Retry-After"]), 4.0)
+        self.assertEqual(fixture.runs_count(), 0)
+
+    async def test_nonsense_is_ignored(self):
+        for text in ("soon", "-1", "nan", "inf", "", "Wed, 21 Oct 2026 07:28:00 GMT"):
+            with self.subTest(text=text):
+                fixture = await self.fixture("shed")
+                fixture.workers[0].pause_text = text
+                await fixture.call("/safe/a")
+                self.assertFalse(len(fixture.gateway.target_pool.signals))
+
+
 class FailureLogTests(PathCase):
     async def test_a_lost_answer_is_logged_with_its_prompt_and_progress(self):
         fixture = await self.fixture("stream_cut")
