Follow a store that comes back from a copy, without reverting what was accepted

What callers would have seen: answers lost with targets that started after the copy, sends to targets that had left, changes missed where a revision is given out again (a watch from it is then valid), and a revoked key that runs at a gateway that starts with the copy. The client decodes the era once; positions that gateways exchange order the eras, an answer of an earlier one is dropped, a later one makes the store be read anew, at once. Truth until entries are written again, at most 5 s: the configuration by its version; a target as this gateway knew it; one that it saw leaving or gone stays so; an unknown one is new. A gateway that starts with an older configuration than its peers have waits up to 30 s for the operator before it runs requests with keys. Ruled out: fetching the configuration from a peer (a forged one would be in force), and holding back all unknown targets (the first try: one that started in between was missing for 5 s; a test found it). Tests: tests.test_store_eras, 12 cases; the readers' and the store's tests pass.

--- a/src/waxwinghold/_gateway/client.py
+++ b/src/waxwinghold/_gateway/client.py
@@ -25,6 +25,14 @@
     async def call(self, method, path, *, limit_ms, body=None):
         """Send a request and return the ``(status, body)`` of its answer.
 
+        ``exchange`` does the same and returns the ``AnswerHead`` and the body.
+        """
+        head, body = await self.exchange(method, path, limit_ms=limit_ms, body=body)
+        return head.status, body
+
+    async def exchange(self, method, path, *, limit_ms, body=None):
+        """Send a request and return the ``AnswerHead`` and the body of its answer.
+
         Concurrent calls are sent one after another.
 
         Args:
@@ -63,7 +71,7 @@
             self._connection = connection
         connection.send(self._request(method, path, body))
         head = await connection.head()
-        return head.status, await connection.whole_body()
+        return head, await connection.whole_body()
 
     def _request(self, method, path, body):
         lines = [f"{method} {path} HTTP/1.1"]
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -36,6 +36,9 @@
 # Subtracted from the freshness limit, so that a request that is sent within the limit
 # also arrives within it.
 FRESHNESS_MARGIN_MS = 700.0
+# For this long after its start a gateway waits for the operator to write again what the
+# other gateways have and a store that came back from a copy has lost.
+NEWCOMER_MS = 30_000.0
 RETRY_ELSEWHERE_MS = 50.0  # Another gateway may be able to serve at once.
 # Time for the platform to stop sending callers: it checks the readiness every second
 # and reacts to the second failed check.
@@ -73,6 +76,7 @@
             target_pool=self.target_pool,
             waiting_counts=self._waiting_counts,
             suspects=self.suspects,
+            configuration_version=self._configuration_version,
         )
         self.readers = StoreReaders(
             clock=clock,
@@ -93,6 +97,7 @@
         self._budgets = {}
         self._usual_deadlines = {}
         self._servers = []
+        self._started_ms = clock.now_ms()
         self._stopping = False
         self._rejecting = False
         self._stop = asyncio.Event()
@@ -271,6 +276,25 @@
                 f"the gateway's copy of the keys is {self.published.age_ms:.0f} ms old",
                 retry_after_ms=RETRY_ELSEWHERE_MS,
             )
+        if self.settings.strict_keys and self._is_outdated_newcomer():
+            raise UnconfiguredError(
+                "the other gateways have a newer configuration",
+                retry_after_ms=RETRY_ELSEWHERE_MS,
+            )
+
+    def _configuration_version(self):
+        table = self.published.table
+        return table.configuration.version if table else 0
+
+    def _is_outdated_newcomer(self):
+        """Return whether this gateway started with an old copy of the store.
+
+        The other gateways may know of a revocation that the store has lost.
+        """
+        if self.clock.now_ms() - self._started_ms > NEWCOMER_MS:
+            return False
+        newest_version = self.peers.newest_configuration_version
+        return newest_version > self._configuration_version()
 
     def _check_content(self, admitted):
         if self.suspects.is_blocked(admitted.content, now_ms=self.clock.now_ms()):
@@ -282,7 +306,7 @@
         if not self.settings.strict_keys:
             return True
         limit_ms = self.settings.freshness_limit_ms - FRESHNESS_MARGIN_MS
-        return self.published.age_ms <= limit_ms
+        return self.published.age_ms <= limit_ms and not self._is_outdated_newcomer()
 
     async def _serve_readiness(self):
         async def handle(request):
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -28,6 +28,7 @@
             0 if that is nothing.
         leaving: Targets, with their incarnations, that announced to the sender a short
             while ago that they leave.
+        configuration_version: Version of the configuration in force; 0 for none.
     """
 
     format: int
@@ -40,6 +41,7 @@
     waiting: dict[str, int]
     suspects_version: int = 0
     leaving: list[str] = []
+    configuration_version: int = 0
 
 
 class RankNotice(msgspec.Struct, array_like=True, frozen=True, tag="rank"):
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -57,6 +57,7 @@
             kept up to date.
         waiting_counts: Returns the number of queued requests by service.
         suspects: The ``CrashSuspects`` that the gateways share.
+        configuration_version: Returns the version in force at this gateway.
 
     Attributes:
         handlers: Functions for all notices but ``GatewayNotice``, by class; called
@@ -64,13 +65,23 @@
         malformed_count: Datagrams that could not be decoded.
     """
 
-    def __init__(self, *, clock, settings, target_pool, waiting_counts, suspects):
+    def __init__(
+        self,
+        *,
+        clock,
+        settings,
+        target_pool,
+        waiting_counts,
+        suspects,
+        configuration_version,
+    ):
         super().__init__(ip=settings.peers_ip, port=settings.peers_port)
         self._clock = clock
         self.settings = settings
         self._target_pool = target_pool
         self._waiting_counts = waiting_counts
         self._suspects = suspects
+        self._configuration_version = configuration_version
         self._suspect_exchange = SuspectExchange(
             clock=clock, suspects=suspects, target_pool=target_pool, send=self.send
         )
@@ -106,6 +117,18 @@
             ip < own_ip for ip, peer in self._peers.items() if peer.notice is not None
         )
 
+    @property
+    def newest_configuration_version(self):
+        """Return the highest version that is in force at another active gateway."""
+        return max(
+            (
+                peer.notice.configuration_version
+                for peer in self._peers.values()
+                if peer.notice is not None
+            ),
+            default=0,
+        )
+
     def local_peers(self):
         """Return the addresses of the other active gateways of this data centre."""
         return [
@@ -191,6 +214,7 @@
             self._waiting_counts(),
             self._suspects.version,
             self._target_pool.signals.told_leaving(now_ms=now_ms),
+            self._configuration_version(),
         )
         self._quiet_rounds_count += 1
         if (
@@ -213,6 +237,7 @@
             waiting=state[1],
             suspects_version=state[2],
             leaving=state[3],
+            configuration_version=state[4],
         )
         data = encoder.encode(notice)
         if len(data) > LIMIT_BYTES:
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -1,5 +1,7 @@
 """A gateway's copy of the published configuration and targets, and its age."""
 
+from collections import OrderedDict
+
 import logbook
 
 from .routes import RouteTable
@@ -7,6 +9,10 @@
 log = logbook.Logger("published")
 
 NEVER_MS = float("-inf")
+# Targets write their entries again within this time after the store came back from a
+# copy, or the copy's entries of dead targets expire.
+RESTORED_LIMIT_MS = 5000.0
+GONE_LIMIT_COUNT = 512  # Removed targets that are remembered.
 
 
 class PublishedState:
@@ -33,6 +39,12 @@
         self._missing_since_ms = {}
         self._outage_ended_ms = NEVER_MS
         self._in_outage = False
+        self._restored_ms = NEVER_MS
+        self._before_restore = None
+        # Start times of targets that were removed, by name.
+        self._gone = OrderedDict()
+        self._written_names = set()
+        self._listed = {}
         self.table = None
         self.asked_ms = NEVER_MS
 
@@ -74,12 +86,36 @@
             },
         )
 
+    def begin_era(self):
+        """Record that the store came back from a copy that is some seconds old.
+
+        Until its entries are written again, this copy is newer than the store: the
+        configuration is replaced only by a higher version anyway, and a target is as it
+        was here, also if it was gone.
+        """
+        self.record_failure("the store came back from a copy")
+        self._restored_ms = self._clock.now_ms()
+        self._before_restore = dict(self._targets)
+        self._written_names.clear()
+
+    def record_written(self, name):
+        """Record that the entry of a target was written or deleted in this era."""
+        if self._is_restored():
+            self._written_names.add(name)
+
     def apply_targets(self, targets):
         """Replace the targets with the complete list that the store holds now.
 
         Targets that are missing because of an outage are kept for a while.
         """
-        listed = {listing.name: listing for listing in targets}
+        self._listed = {listing.name: listing for listing in targets}
+        listed = self._listed
+        if self._is_restored():
+            listed = {
+                name: self._newest(name, listing)
+                for name, listing in listed.items()
+                if not self._is_gone(name, listing)
+            }
         now_ms = self._clock.now_ms()
         for name in list(self._missing_since_ms):
             if name in listed:
@@ -91,11 +127,15 @@
             for name in self._missing_since_ms
             if name in self._targets and self._may_return(name)
         }
+        self._record_gone(self._targets.keys() - kept.keys() - listed.keys())
         self._targets = kept | listed
         self._target_pool.replace(self._targets.values())
 
     def drop_missing(self):
         """Remove missing targets whose grace period is over."""
+        if self._before_restore is not None and not self._is_restored():
+            self._before_restore = None
+            self.apply_targets(self._listed.values())
         gone = [
             name
             for name in self._missing_since_ms
@@ -103,6 +143,7 @@
         ]
         if not gone:
             return
+        self._record_gone(gone)
         for name in gone:
             del self._targets[name]
         self._target_pool.replace(self._targets.values())
@@ -111,7 +152,33 @@
         """Return whether a missing target may be live and be listed again."""
         if self._in_outage:
             return True
+        if self._is_restored():
+            return name not in self._written_names
         since_ms = self._missing_since_ms[name]
         if since_ms - self._outage_ended_ms > self._grace_ms:
             return False
         return self._clock.now_ms() - self._outage_ended_ms <= self._grace_ms
+
+    def _record_gone(self, names):
+        for name in names:
+            self._gone[name] = self._targets[name].born_ms
+            self._gone.move_to_end(name)
+        while len(self._gone) > GONE_LIMIT_COUNT:
+            self._gone.popitem(last=False)
+
+    def _is_gone(self, name, listing):
+        """Return whether the store lists a target only because it lost its removal."""
+        return name not in self._written_names and (
+            self._gone.get(name) == listing.born_ms
+        )
+
+    def _newest(self, name, listing):
+        """Return what is known about a target that a restored store lists."""
+        if name in self._written_names:
+            return listing
+        known = self._before_restore.get(name, listing)
+        return known if known.born_ms == listing.born_ms else listing
+
+    def _is_restored(self):
+        """Return whether the store may still hold entries of its copy."""
+        return self._clock.now_ms() - self._restored_ms < RESTORED_LIMIT_MS
--- a/src/waxwinghold/_gateway/readers.py
+++ b/src/waxwinghold/_gateway/readers.py
@@ -220,7 +220,7 @@
         if notice.at > self._revision and notice.changes:
             try:
                 for answer in notice.changes:
-                    self.apply_changes(answer)
+                    self.apply_changes(answer, at=notice.at)
             except UnreadableChangesError as error:
                 self._exclude(ip, str(error))
                 return
--- a/src/waxwinghold/platform/directory.py
+++ b/src/waxwinghold/platform/directory.py
@@ -66,7 +66,7 @@
             return None, self._shape
 
     async def _read_addresses(self):
-        items, _ = await read_range(self._client, TARGETS_PREFIX, **{"stale-ok": 1})
+        items, _, _ = await read_range(self._client, TARGETS_PREFIX, **{"stale-ok": 1})
         addresses = []
         for item in items:
             data = base64.b64decode(item.value or "")
@@ -76,7 +76,9 @@
         return addresses
 
     async def _read_shape(self):
-        items, _ = await read_range(self._client, CONFIGURATION_KEY, **{"stale-ok": 1})
+        items, _, _ = await read_range(
+            self._client, CONFIGURATION_KEY, **{"stale-ok": 1}
+        )
         for item in items:
             data = base64.b64decode(item.value or "")
             for service in msgspec.json.decode(data, type=_Configuration).services:
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -4,6 +4,7 @@
 import binascii
 import random
 import urllib.parse
+from dataclasses import dataclass
 
 import logbook
 import msgspec
@@ -18,6 +19,10 @@
 
 CONFIGURATION_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
+ERA = b"store-era"
+# Revisions are given out again in a later era; the position of a copy orders them all.
+REVISIONS_PER_ERA_COUNT = 2**44
+ERA_DIGITS_LIMIT_COUNT = 5
 OK = 200
 HISTORY_GONE = 410
 ANSWER_LIMIT_MS = 1500.0  # A slow store takes about 50 times its usual 4 ms.
@@ -40,6 +45,18 @@
         self.status = status
 
 
+class _NewEraError(StoreError):
+    """The store answered in a later era.
+
+    Args:
+        era: That era.
+    """
+
+    def __init__(self, *, era):
+        super().__init__(status=None, reason=f"era {era} began")
+        self.era = era
+
+
 class _Item(msgspec.Struct, rename="kebab"):
     key: str
     value: str | None = None
@@ -62,9 +79,32 @@
 _events_decoder = msgspec.json.Decoder(_Events)
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreAnswer:
+    """The answer to a read call.
+
+    Args:
+        body: The body, as bytes.
+        era: How often the store had come back from a copy; 0 if it does not say.
+    """
+
+    body: bytes
+    era: int
+
+
 async def read_store(client, path, *, limit_ms, **query):
     """Send a read call to the store and return the body of the answer.
 
+    Raises:
+        StoreError: The answer was an error, or none came in time.
+    """
+    answer = await ask_store(client, path, limit_ms=limit_ms, **query)
+    return answer.body
+
+
+async def ask_store(client, path, *, limit_ms, **query):
+    """Send a read call to the store and return the ``StoreAnswer``.
+
     Args:
         client: The ``KeepAliveClient`` of the store.
         path: Path of the call.
@@ -76,36 +116,39 @@
     """
     path_and_query = f"{path}?{urllib.parse.urlencode(query)}"
     try:
-        status, body = await client.call("GET", path_and_query, limit_ms=limit_ms)
+        head, body = await client.exchange("GET", path_and_query, limit_ms=limit_ms)
     except SendError as error:
         raise StoreError(status=None, reason=repr(error)) from error
-    if status != OK:
-        raise StoreError(status=status, reason=body[:100].decode("latin-1"))
-    return body
+    if head.status != OK:
+        raise StoreError(status=head.status, reason=body[:100].decode("latin-1"))
+    return StoreAnswer(body=body, era=_era(head))
 
 
 async def read_range(client, prefix, **query):
     """Read all items whose keys begin with ``prefix``, page by page.
 
     Returns:
-        The items and the store's revision of the first page.
+        The items, the store's revision of the first page, and the era of all pages.
 
     Raises:
-        StoreError: A page could not be read.
+        StoreError: A page could not be read, or an era began between two pages.
     """
-    items, after, first_revision = [], None, None
+    items, after, first_revision, era = [], None, None, None
     while True:
         page_query = {"prefix": prefix, **query}
         if after is not None:
             page_query["after"] = after
-        body = await read_store(
+        answer = await ask_store(
             client, "/v1/kv-range", limit_ms=ANSWER_LIMIT_MS, **page_query
         )
-        page = _page_decoder.decode(body)
+        page = _page_decoder.decode(answer.body)
+        era = answer.era if era is None else era
+        if answer.era != era:
+            raise StoreError(status=None, reason="an era began between two pages")
         items.extend(page.items)
         first_revision = page.at if first_revision is None else first_revision
         if not page.more_pages or not page.items:
-            return items, first_revision
+            return items, first_revision, era
         after = page.items[-1].key
 
 
@@ -127,6 +170,7 @@
         self._client = KeepAliveClient(address=address)
         self._rng = rng or random.Random()
         self._targets = {}
+        self._era = 0
         self._revision = None
         self._failures_count = 0
 
@@ -142,6 +186,9 @@
                     await self._read_all()
                 else:
                     await self._watch(self._revision, wait_ms)
+            except _NewEraError as error:
+                self._begin_era(error.era)
+                continue
             except (StoreError, msgspec.MsgspecError) as error:
                 self._published.record_failure(error)
                 await self._pause(error)
@@ -149,15 +196,20 @@
             self._failures_count = 0
             self._published.record_answer(asked_ms=asked_ms)
 
-    def apply_changes(self, answer):
+    def apply_changes(self, answer, *, at):
         """Apply the answer to a watch that another gateway passed on.
 
         Args:
             answer: The store's answer, as bytes.
+            at: The position of that gateway's copy.
 
         Raises:
-            UnreadableChangesError: The bytes are not the answer to a watch.
+            UnreadableChangesError: The bytes are not the answer to a watch, or it is of
+                another era.
         """
+        era = at // REVISIONS_PER_ERA_COUNT
+        if era != self._era:
+            raise UnreadableChangesError(f"changes of era {era} in era {self._era}")
         try:
             changes = _events_decoder.decode(answer)
         except msgspec.MsgspecError as error:
@@ -166,12 +218,47 @@
             ) from error
         self._apply_events(changes)
 
+    def _position(self, revision):
+        """Return the position of a copy at ``revision`` of the present era."""
+        return self._era * REVISIONS_PER_ERA_COUNT + revision
+
+    def _check_era(self, era):
+        """Check that an answer is of the present era.
+
+        Raises:
+            StoreError: It is of an earlier one.
+            _NewEraError: It is of a later one.
+        """
+        if era > self._era and self._revision is not None:
+            raise _NewEraError(era=era)
+        if era < self._era:
+            raise StoreError(
+                status=None, reason=f"answer of era {era} in era {self._era}"
+            )
+
+    def _begin_era(self, era):
+        """Read the store anew, as it came back from a copy."""
+        log.warn(
+            "store came back from a copy",
+            extra={"era": era, "previous_era": self._era, "at": self._revision},
+        )
+        self._era = era
+        self._revision = None
+        self._readers.reset()
+        self._published.begin_era()
+
     async def _read_all(self):
         """Read the configuration and all targets anew."""
-        configuration_items, revision = await read_range(
+        configuration_items, revision, era = await read_range(
             self._client, CONFIGURATION_KEY
         )
-        target_items, _ = await read_range(self._client, TARGETS_PREFIX)
+        target_items, _, targets_era = await read_range(self._client, TARGETS_PREFIX)
+        if targets_era != era:
+            raise StoreError(status=None, reason="an era began between two reads")
+        self._check_era(era)
+        if era > self._era and self._era:
+            self._begin_era(era)
+        self._era = era
         self._targets = {}
         for item in target_items:
             self._apply_target(item)
@@ -182,7 +269,7 @@
         self._published.apply_targets(self._targets.values())
         # The watch starts at the first page and so returns changes made since then.
         self._revision = revision
-        self._readers.record_read(revision)
+        self._readers.record_read(self._position(revision))
 
     async def _watch(self, after, wait_ms):
         """Apply the changes after revision ``after``.
@@ -194,7 +281,7 @@
         query = {"prefix": "", "after": after, "wait-ms": int(wait_ms)}
         try:
             limit_ms = wait_ms + ANSWER_LIMIT_MS
-            body = await read_store(
+            answer = await ask_store(
                 self._client, "/v1/kv-watch", limit_ms=limit_ms, **query
             )
         except StoreError as error:
@@ -206,11 +293,16 @@
                 self._revision = None
                 self._readers.reset()
             raise
-        changes = _events_decoder.decode(body)
+        self._check_era(answer.era)
+        changes = _events_decoder.decode(answer.body)
         if after < self._revision and changes.at <= self._revision:
             return  # Meanwhile another gateway passed on the same changes, or more.
         self._apply_events(changes)
-        self._readers.record_read(self._revision, after=after, answer=body)
+        self._readers.record_read(
+            self._position(self._revision),
+            after=self._position(after),
+            answer=answer.body,
+        )
 
     def _apply_events(self, changes):
         changed = False
@@ -219,6 +311,7 @@
                 self._apply_configuration(item)
             elif item.key.startswith(TARGETS_PREFIX):
                 self._apply_target(item)
+                self._published.record_written(item.key.removeprefix(TARGETS_PREFIX))
                 changed = True
         self._revision = max(self._revision, changes.at)
         if changed:
@@ -252,6 +345,15 @@
         await self._clock.sleep_ms(self._rng.uniform(RETRY_BASE_MS, limit_ms))
 
 
+def _era(head):
+    """Return the era in the head of an answer; 0 if it names none."""
+    text = head.get(ERA) or "0"
+    if text.isascii() and text.isdigit() and len(text) <= ERA_DIGITS_LIMIT_COUNT:
+        return int(text)
+    log.warn("malformed era header", extra={"value": text[:40]})
+    raise StoreError(status=head.status, reason="malformed era")
+
+
 def _value(item):
     """Return an item's value as bytes; ``None`` if deleted or not decodable."""
     if item.deleted or item.value is None:
--- a/src/waxwinghold_standins/fleet_store.py
+++ b/src/waxwinghold_standins/fleet_store.py
@@ -20,6 +20,7 @@
         fault: Fault of every call: ``"busy"`` (503), ``"many"`` (429), ``"silent"``
             (no answer), ``"reset"`` (TCP reset) or ``""`` (none).
         calls: Path and query of every call so far.
+        era: Number of copies that the store came back from, plus one.
     """
 
     def __init__(self, *, page_count=50):
@@ -32,6 +33,23 @@
         self._compacted_revision = 0
         self._revision = 10
         self._changed = asyncio.Event()
+        self.era = 1
+
+    def snapshot(self):
+        """Return a copy of the present state, for ``restore``."""
+        return dict(self._items), self._revision
+
+    def restore(self, snapshot):
+        """Come back from a copy: what was written since is lost, and a new era begins.
+
+        Revisions go back; a watch from one that does not exist is answered 410.
+        """
+        items, self._revision = snapshot
+        self._items = dict(items)
+        self._history = []
+        self._compacted_revision = self._revision
+        self.era += 1
+        self._wake_watches()
 
     def put(self, key, value):
         """Write an item.
@@ -67,16 +85,21 @@
             reset_connection(writer)
             return False
         if self.fault in ("busy", "many"):
-            writer.write(answer_bytes({"busy": 503, "many": 429}[self.fault]))
+            status = {"busy": 503, "many": 429}[self.fault]
+            writer.write(answer_bytes(status, self._headers()))
             return True
         path, _, query = request.path.partition("?")
         fields = dict(urllib.parse.parse_qsl(query))
         handler = {"/v1/kv-range": self._range, "/v1/kv-watch": self._watch}[path]
         status, document = await handler(fields)
         body = json.dumps(document).encode()
-        writer.write(answer_bytes(status, [("Content-Type", "application/json")], body))
+        headers = [("Content-Type", "application/json"), *self._headers()]
+        writer.write(answer_bytes(status, headers, body))
         return True
 
+    def _headers(self):
+        return [("Store-Era", str(self.era))]
+
     async def _range(self, fields):
         """Return the status and document of one page of the items of a key prefix."""
         after = fields.get("after", "")
@@ -102,7 +125,7 @@
         loop = asyncio.get_running_loop()
         deadline_s = loop.time() + int(fields["wait-ms"]) / MS_PER_SECOND
         while True:
-            if after < self._compacted_revision:
+            if after < self._compacted_revision or after > self._revision:
                 return 410, {}
             events = [event for event in self._history if event["revision"] > after]
             left_s = deadline_s - loop.time()
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -20,6 +20,7 @@
     Args:
         gateways_count: Number of gateways.
         workers_count: Number of workers.
+        settings: Further fields of the ``GatewaySettings``.
         worker: Options of each ``FleetWorker``.
 
     Attributes:
@@ -27,7 +28,8 @@
         workers: The ``FleetWorker`` stand-ins.
     """
 
-    def __init__(self, *, gateways_count, workers_count, **worker):
+    def __init__(self, *, gateways_count, workers_count, settings=None, **worker):
+        self._settings = settings or {}
         self.store = FleetStore()
         self.workers = [
             FleetWorker(name=f"w{number}", on_restart=self._replace_worker, **worker)
@@ -72,6 +74,7 @@
             readiness_port=self._readiness_port,
             peers_port=self._peers_port,
             seeds=tuple(f"{ip}:1" for ip in self.ips[:2]),
+            **self._settings,
         )
         self.gateways[index] = gateway
         self._tasks[index] = asyncio.create_task(gateway.run())
@@ -92,7 +95,7 @@
         has_targets = len(list(gateway.target_pool)) >= len(self.workers)
         return has_targets and gateway.peers.gateways_count == len(self.gateways)
 
-    async def stream(self, index, *parts):
+    async def stream(self, index, *parts, key=KEY):
         """Send a stream request with these prompt parts and one of its own.
 
         Args:
@@ -106,7 +109,7 @@
         headers = {
             "Host": HOST,
             "Attempt-Id": request_id,
-            "Credential": KEY,
+            "Credential": key,
             "Deadline-Ms": "8000",
             "Prompt-Prefix": ",".join(entries),
         }
--- a/tests/test_gateway_readers.py
+++ b/tests/test_gateway_readers.py
@@ -93,10 +93,10 @@
                 await asyncio.sleep(0.3)
                 continue
             self.published.record_answer(asked_ms=asked_ms)
-            self.apply_changes(answer)
+            self.apply_changes(answer, at=at)
             self.readers.record_read(at, after=after, answer=answer)
 
-    def apply_changes(self, answer):
+    def apply_changes(self, answer, *, at):
         if not answer.isdigit():
             raise UnreadableChangesError(answer.decode())
         self.at = int(answer)
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -12,12 +12,18 @@
 from waxwinghold._gateway.published_state import PublishedState
 from waxwinghold._gateway.readers import StoreReaders, UnreadableChangesError
 from waxwinghold._gateway.targets import TargetPool
-from waxwinghold.platform.store import StoreWatcher, read_store
+from waxwinghold.platform.store import (
+    REVISIONS_PER_ERA_COUNT,
+    StoreAnswer,
+    StoreWatcher,
+    read_store,
+)
 from waxwinghold_standins.fleet_store import FleetStore, worker_entry
 
 from .support.gateway import FakeClock, configuration
 
 GRACE_MS = 2000.0
+POSITION = REVISIONS_PER_ERA_COUNT + 1  # In the first era of the stand-in.
 
 
 class WatchCase(unittest.IsolatedAsyncioTestCase):
@@ -86,7 +92,7 @@
     async def test_passed_on_answers_are_applied_like_own_ones(self):
         await self.read_once()
         self.put_worker("i-2")
-        self.watcher.apply_changes(await self.answer(1))
+        self.watcher.apply_changes(await self.answer(1), at=POSITION)
         self.assertEqual(self.names(), {"i-1", "i-2"})
 
     async def test_an_own_answer_older_than_a_passed_on_one_changes_nothing(self):
@@ -97,10 +103,10 @@
         newer = await self.answer(1)
 
         async def late_answer(*args, **query):
-            self.watcher.apply_changes(newer)
-            return older
+            self.watcher.apply_changes(newer, at=POSITION)
+            return StoreAnswer(body=older, era=1)
 
-        with mock.patch("waxwinghold.platform.store.read_store", late_answer):
+        with mock.patch("waxwinghold.platform.store.ask_store", late_answer):
             await self.watcher._watch(1, 0)
         self.assertEqual(self.names(), {"i-1"})
 
@@ -108,7 +114,7 @@
         await self.read_once()
         for answer in (b"", b"{}", b'{"events": 1, "at": 2}', b"\xff"):
             with self.assertRaises(UnreadableChangesError):
-                self.watcher.apply_changes(answer)
+                self.watcher.apply_changes(answer, at=POSITION)
         self.assertEqual(self.names(), {"i-1"})
 
 
--- /dev/null
+++ b/tests/test_store_eras.py
@@ -0,0 +1,208 @@
+"""Tests a store that comes back from an old copy and loses what followed."""
+
+import asyncio
+import unittest
+
+from waxwinghold._gateway.model import TargetState
+from waxwinghold._gateway.published_state import RESTORED_LIMIT_MS
+from waxwinghold._gateway.readers import UnreadableChangesError
+from waxwinghold.platform.store import REVISIONS_PER_ERA_COUNT
+
+from .support.gateway import KEY, GatewayFixture, configuration
+from .support.gateway_fleet import GatewayFleet
+from .test_gateway_path import PathCase
+from .test_platform_store import WatchCase
+
+OTHER_KEY = "key-that-is-revoked"
+
+
+class RestoredStoreTests(WatchCase):
+    async def begin(self, *names):
+        self.store.put("op/config", configuration(version=1))
+        for name in names:
+            self.put_worker(name)
+        self.start()
+        await self.until(lambda: self.version == 1 and self.names() == set(names))
+
+    async def until_era(self, era):
+        await self.until(lambda: self.watcher._era == era)
+        await self.until(lambda: self.watcher._revision is not None)
+
+    async def stays(self, condition, *, for_s):
+        loop = asyncio.get_running_loop()
+        end_s = loop.time() + for_s
+        while loop.time() < end_s:
+            self.assertTrue(condition())
+            await asyncio.sleep(0.005)
+
+    async def test_in_a_quiet_time_nothing_changes(self):
+        await self.begin("i-1", "i-2")
+        self.store.restore(self.store.snapshot())
+        await self.stays(
+            lambda: self.version == 1 and self.names() == {"i-1", "i-2"}, for_s=1.0
+        )
+        self.assertEqual(self.watcher._era, 2)
+
+    async def test_an_accepted_configuration_does_not_revert(self):
+        await self.begin("i-1")
+        copy = self.store.snapshot()
+        self.store.put("op/config", configuration(version=2))
+        await self.until(lambda: self.version == 2)
+        self.store.restore(copy)
+        await self.stays(lambda: self.version == 2, for_s=1.0)
+        self.store.put("op/config", configuration(version=3))
+        await self.until(lambda: self.version == 3)
+
+    async def test_revisions_that_are_given_out_again_are_not_taken_for_known(self):
+        await self.begin("i-1")
+        copy = self.store.snapshot()
+        for number in range(3):
+            self.put_worker(f"lost-{number}")
+        await self.until(lambda: len(self.names()) == 4)
+        self.store.restore(copy)
+        for number in range(3):
+            self.put_worker(f"new-{number}")
+        await self.until(lambda: "new-2" in self.names())
+
+    async def test_a_target_that_had_left_does_not_come_back(self):
+        await self.begin("i-1", "i-2")
+        copy = self.store.snapshot()
+        self.store.delete("servers/i-1")
+        await self.until(lambda: self.names() == {"i-2"})
+        self.store.restore(copy)
+        await self.stays(lambda: self.names() == {"i-2"}, for_s=1.0)
+        self.store.delete("servers/i-1")
+        await self.stays(
+            lambda: self.names() == {"i-2"}, for_s=RESTORED_LIMIT_MS / 1000
+        )
+
+    async def test_a_target_that_was_leaving_stays_leaving(self):
+        await self.begin("i-1")
+        copy = self.store.snapshot()
+        self.put_worker("i-1", state="draining")
+
+        def is_leaving():
+            target = self.target_pool.get("i-1")
+            return target.listing.state is TargetState.LEAVING
+
+        await self.until(is_leaving)
+        self.store.restore(copy)
+        await self.stays(is_leaving, for_s=1.0)
+        self.put_worker("i-1", state="draining")
+        await self.until_era(2)
+        await self.stays(is_leaving, for_s=RESTORED_LIMIT_MS / 1000)
+
+    async def test_a_target_that_started_after_the_copy_is_kept(self):
+        await self.begin("i-1")
+        copy = self.store.snapshot()
+        self.put_worker("i-2")
+        await self.until(lambda: self.names() == {"i-1", "i-2"})
+        self.store.restore(copy)
+        await self.stays(lambda: self.names() == {"i-1", "i-2"}, for_s=2.5)
+        self.put_worker("i-2")
+        await self.stays(lambda: self.names() == {"i-1", "i-2"}, for_s=3.5)
+
+    async def test_a_target_that_is_not_written_again_is_gone_in_the_end(self):
+        await self.begin("i-1")
+        copy = self.store.snapshot()
+        self.put_worker("i-2")
+        await self.until(lambda: self.names() == {"i-1", "i-2"})
+        self.store.restore(copy)
+        await asyncio.sleep(RESTORED_LIMIT_MS / 1000 + 0.3)
+        self.published.drop_missing()
+        self.assertEqual(self.names(), {"i-1"})
+
+    async def test_two_eras_in_a_row_are_followed(self):
+        await self.begin("i-1")
+        copy = self.store.snapshot()
+        self.store.put("op/config", configuration(version=4))
+        await self.until(lambda: self.version == 4)
+        self.store.restore(copy)
+        self.store.restore(copy)
+        await self.until_era(3)
+        self.assertEqual((self.version, self.names()), (4, {"i-1"}))
+        self.put_worker("i-2")
+        await self.until(lambda: self.names() == {"i-1", "i-2"})
+
+    async def test_what_a_gateway_of_an_earlier_era_passes_on_is_not_applied(self):
+        await self.begin("i-1")
+        self.store.restore(self.store.snapshot())
+        await self.until_era(2)
+        late = (
+            b'{"events":[{"key":"servers/i-1","revision":99,"deleted":true}],"at":99}'
+        )
+        with self.assertRaises(UnreadableChangesError):
+            self.watcher.apply_changes(late, at=REVISIONS_PER_ERA_COUNT + 99)
+        self.assertEqual(self.names(), {"i-1"})
+
+    async def test_an_answer_of_an_earlier_era_is_not_applied(self):
+        await self.begin("i-1")
+        self.store.restore(self.store.snapshot())
+        await self.until_era(2)
+        self.store.era = 1
+        self.store.delete("servers/i-1")
+        await self.stays(lambda: self.names() == {"i-1"}, for_s=1.0)
+
+
+class RestoredStoreCallerTests(PathCase):
+    async def test_a_revoked_key_does_not_run_again(self):
+        fixture = GatewayFixture(behaviours=("whole", "whole"), strict_keys=True)
+        await self.enterAsyncContext(fixture.open())
+        tenants = [
+            {"name": "a-customer", "api-keys": [KEY], "priority": 1},
+            {"name": "another", "api-keys": [OTHER_KEY], "priority": 1},
+        ]
+        fixture.store.put("op/config", configuration(version=2, tenants=tenants))
+        async with asyncio.timeout(3):
+            while (await fixture.call("/safe/a", Credential=OTHER_KEY))[0] != 200:
+                await asyncio.sleep(0.02)
+        copy = fixture.store.snapshot()
+        fixture.store.put("op/config", configuration(version=3))
+        async with asyncio.timeout(3):
+            while (await fixture.call("/safe/a", Credential=OTHER_KEY))[0] != 401:
+                await asyncio.sleep(0.02)
+        fixture.store.restore(copy)
+        for number in range(40):
+            status, _, _ = await fixture.call("/safe/a", Credential=OTHER_KEY)
+            self.assertEqual(status, 401)
+            status, _, _ = await fixture.call("/safe/a", request_id=f"s-{number}")
+            self.assertEqual(status, 200)
+            await asyncio.sleep(0.02)
+
+
+class RestartAfterRestoreTests(unittest.IsolatedAsyncioTestCase):
+    async def test_a_gateway_that_starts_with_the_copy_runs_no_revoked_key(self):
+        fleet = GatewayFleet(
+            gateways_count=2,
+            workers_count=2,
+            settings={"strict_keys": True},
+            behaviour="stream",
+        )
+        tenants = [{"name": "another", "api-keys": [OTHER_KEY], "priority": 1}]
+        async with fleet.open():
+            fleet.store.put("op/config", configuration(version=2, tenants=tenants))
+            await self.until(fleet, version=2)
+            copy = fleet.store.snapshot()
+            fleet.store.put("op/config", configuration(version=3))
+            await self.until(fleet, version=3)
+            await fleet.stop_gateway(1)
+            fleet.store.restore(copy)
+            fleet.start_gateway(1)
+            await fleet.wait_ready()
+            for _ in range(10):
+                status, _ = await fleet.stream(1, "a", key=OTHER_KEY)
+                self.assertEqual(status, 503)
+            fleet.store.put("op/config", configuration(version=3))
+            await self.until(fleet, version=3)
+            status, _ = await fleet.stream(1, "a", key=OTHER_KEY)
+            self.assertEqual(status, 401)
+            status, _ = await fleet.stream(1, "a")
+            self.assertEqual(status, 200)
+
+    async def until(self, fleet, *, version):
+        async with asyncio.timeout(5):
+            while {
+                gateway.published.table.configuration.version
+                for gateway in fleet.gateways
+            } != {version}:
+                await asyncio.sleep(0.02)
