Let entries block the beginning of a prompt that crashes engines

Both stacks now call _decisions/crash_suspects.py. An entry counted crashes by the whole content only; prompts that share a beginning and differ behind it went on to crash engine after engine, two each. The beginning is the part that entries know (the engines' cached prefix); records go over the entries' authenticated links, in full, and are passed on where they are new. An engine's crash is named by its agent's incarnation and the second, as the agent outlives the engine. Whole requests stay with SuspectRequests, which runs suspects alone: ruled out for parts, as a part comes with many requests that cannot all run alone.

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -31,6 +31,8 @@
 OUTAGE_WINDOW_MS = 100.0
 TARGETS_LIMIT_COUNT = 32  # Crashed targets that are remembered.
 RECORDS_LIMIT_COUNT = 4  # Lost requests remembered for one of them.
+RECORDS_TOTAL_COUNT = TARGETS_LIMIT_COUNT * RECORDS_LIMIT_COUNT
+PARTS_LIMIT_COUNT = 16
 EVIDENCE_LIMIT_COUNT = TRUSTED_CRASHES_LIMIT_COUNT
 ANSWERS_LIMIT_COUNT = 4096  # Parts with an answer within ``TRUST_MS``.
 DIGEST_BYTES = 6
@@ -182,6 +184,53 @@
         """Return when each part or request in the records was last answered."""
         return dict(self._cleared_ms)
 
+    def records(self, *, now_ms):
+        """Return the records in plain types, with ages in place of times.
+
+        Returns:
+            The lost requests and the answers, as tuples for ``merge_records``.
+        """
+        lost = [
+            (
+                lost.target,
+                lost.digest,
+                lost.parts,
+                lost.is_begun,
+                round(now_ms - lost.at_ms),
+            )
+            for lost in self.lost_requests()
+        ]
+        cleared = [
+            (key, round(now_ms - at_ms)) for key, at_ms in self._cleared_ms.items()
+        ]
+        return lost, cleared
+
+    def merge_records(self, lost, cleared, *, now_ms, is_refuted=lambda lost: False):
+        """Add the records of another process; malformed ones are left out.
+
+        Args:
+            is_refuted: ``is_refuted(lost_request)`` returns whether this process knows
+                better.
+        """
+        told = [
+            LostRequest(
+                target=target,
+                digest=digest,
+                parts=tuple(parts[:PARTS_LIMIT_COUNT]),
+                is_begun=is_begun,
+                at_ms=now_ms - max(0, age_ms),
+            )
+            for target, digest, parts, is_begun, age_ms in lost[:RECORDS_TOTAL_COUNT]
+        ]
+        self.merge(
+            [lost for lost in told if _is_valid(lost) and not is_refuted(lost)],
+            {
+                key: now_ms - max(0, age_ms)
+                for key, age_ms in cleared[: RECORDS_TOTAL_COUNT * PARTS_LIMIT_COUNT]
+            },
+            now_ms=now_ms,
+        )
+
     def merge(self, lost_requests, cleared_ms, *, now_ms):
         """Add what another process knows.
 
@@ -376,6 +425,10 @@
         return zlib.crc32(b"\n".join(sorted(known))) or 1
 
 
+def _is_valid(lost):
+    return all(len(digest) == DIGEST_BYTES for digest in (lost.digest, *lost.parts))
+
+
 def _whole_key(lost):
     return (lost.digest,)
 
--- a/src/waxwinghold/_entry/peers.py
+++ b/src/waxwinghold/_entry/peers.py
@@ -6,7 +6,13 @@
 
 import logbook
 
-from .._messages import SheetDelta, SheetFull, SheetPull, SuspectNotice
+from .._messages import (
+    LostRequestsNotice,
+    SheetDelta,
+    SheetFull,
+    SheetPull,
+    SuspectNotice,
+)
 
 log = logbook.Logger("entry")
 
@@ -96,9 +102,20 @@
 
     def apply_suspect(self, notice, *, source):
         """Apply a suspect notice; forward it to the other peers if it was new."""
-        if self._process.suspects.apply(notice):
+        if isinstance(notice, LostRequestsNotice):
+            self._merge_lost_requests(notice, source=source)
+        elif self._process.suspects.apply(notice):
             self.broadcast(notice, except_for=source)
 
+    def _merge_lost_requests(self, notice, *, source):
+        suspects = self._process.crash_suspects
+        version = suspects.version
+        suspects.merge_records(
+            notice.lost, notice.cleared, now_ms=self._process.clock.now_ms()
+        )
+        if suspects.version != version:
+            self.broadcast(self._process.lost_requests_notice(), except_for=source)
+
     def on_up(self, link):
         """Record the peer's sheet version and send it all suspect notices."""
         self._process.update_peer_sheet(
@@ -106,6 +123,8 @@
         )
         for notice in self._process.suspects.notices():
             link.send(notice)
+        if self._process.crash_suspects.version:
+            link.send(self._process.lost_requests_notice())
 
     def on_down(self, link):
         """Remove the peer's sheet version."""
@@ -123,7 +142,7 @@
 
     def on_message(self, link, message):
         """Handle suspect notices and sheet messages."""
-        if isinstance(message, SuspectNotice):
+        if isinstance(message, SuspectNotice | LostRequestsNotice):
             self.apply_suspect(message, source=link.name)
         elif isinstance(message, SheetPull | SheetFull | SheetDelta):
             self._process.on_sheet_message(link, message)
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -7,8 +7,15 @@
 import logbook
 from aiohttp import web
 
+from .._decisions.crash_suspects import CrashSuspects, RequestContent
 from .._errors import NoTargetError
-from .._messages import SheetDelta, SheetFull, SheetPull, SuspectNotice
+from .._messages import (
+    LostRequestsNotice,
+    SheetDelta,
+    SheetFull,
+    SheetPull,
+    SuspectNotice,
+)
 from .._policy import (
     DeadlineAdmission,
     RetryAfterSchedule,
@@ -34,6 +41,7 @@
 CHOICE_POLICY = "weighed"
 KEEPALIVE_TIMEOUT_S = 75
 SHUTDOWN_LIMIT_S = 1.0
+CRASH_INTERVAL_MS = 1000  # An engine takes longer to start again.
 
 
 class EntryProcess(Process):
@@ -47,6 +55,7 @@
         self.admission = Admission(clock=clock, token_signer=self.token_signer)
         self.issuer = KeyIssuer(process=self)
         self.suspects = SuspectRequests(clock=clock)
+        self.crash_suspects = CrashSuspects()
         self.policy = choice_policy.make(CHOICE_POLICY, rng=random.Random())
         self.budget = RetryBudget(ratio=settings.retry_budget_ratio)
         self._retry_after_schedule = RetryAfterSchedule()
@@ -115,8 +124,23 @@
         )
         return max(at_least_ms, scheduled_ms)
 
+    def blocks_prompt(self, request):
+        """Return whether prompts that begin like this one crashed several targets."""
+        return self.crash_suspects.is_blocked(
+            _prompt_content(request), now_ms=self.clock.now_ms()
+        )
+
     def record_success(self, request):
         """Record that a request was answered completely."""
+        version = self.crash_suspects.version
+        self.crash_suspects.record_answer(
+            _prompt_content(request),
+            target="",
+            sent_ms=0.0,
+            now_ms=self.clock.now_ms(),
+        )
+        if self.crash_suspects.version != version:
+            self.peers.broadcast(self.lost_requests_notice())
         self._retry_after_schedule.record_completed(now_ms=self.clock.now_ms())
         notice = self.suspects.record_success(request.digest)
         if notice is not None:
@@ -139,6 +163,20 @@
             by=self.settings.name,
         )
         self.peers.broadcast(notice)
+        # The agent outlives its engine, so that its incarnation names several crashes.
+        crash = self.clock.wall_ms() // CRASH_INTERVAL_MS
+        self.crash_suspects.record_loss(
+            _prompt_content(request),
+            target=f"{target}/{crash}",
+            is_begun=True,
+            now_ms=self.clock.now_ms(),
+        )
+        self.peers.broadcast(self.lost_requests_notice())
+
+    def lost_requests_notice(self):
+        """Return what other entries should know about crashed targets."""
+        lost, cleared = self.crash_suspects.records(now_ms=self.clock.now_ms())
+        return LostRequestsNotice(lost=tuple(lost), cleared=tuple(cleared))
 
     def announce_leaving(self, message):
         super().announce_leaving(message)
@@ -264,8 +302,8 @@
 
     async def on_message(self, connection, message):
         """Handle suspect notices, sheet messages and the requests of operators."""
-        if isinstance(message, SuspectNotice):
-            if connection.key.role == "entry":
+        if isinstance(message, SuspectNotice | LostRequestsNotice):
+            if connection.key.role == EntryProcess.role:
                 self._process.peers.apply_suspect(message, source=connection.name)
         elif isinstance(message, SheetPull | SheetFull | SheetDelta):
             self._process.on_sheet_message(connection, message)
@@ -275,3 +313,15 @@
     def _update_entry_sheet(self, connection, version, digest):
         if connection.key.role == EntryProcess.role:
             self._process.update_peer_sheet(connection, version, digest)
+
+
+def _prompt_content(request):
+    """Return the ``RequestContent`` of a request: the beginning of its prompt.
+
+    Whole requests are the matter of ``SuspectRequests``, which runs them alone.
+    """
+    return RequestContent(
+        call=(request.digest.encode(),),
+        part_names=(request.prefix,) if request.prefix else (),
+        scope=request.service.name,
+    )
--- a/src/waxwinghold/_entry/sending.py
+++ b/src/waxwinghold/_entry/sending.py
@@ -7,6 +7,7 @@
     KeyOwnerLostError,
     NoTargetError,
     OverloadedError,
+    SuspectPromptError,
     SuspectRequestError,
     TargetUnreachableError,
 )
@@ -79,6 +80,8 @@
         if suspects.is_condemned(self._request.digest):
             count = suspects.crashes_count(self._request.digest)
             raise SuspectRequestError(crashes_count=count)
+        if self._process.blocks_prompt(self._request):
+            raise SuspectPromptError()
 
     def _submit_message(self, target, *, given, suspect):
         request = self._request
--- a/src/waxwinghold/_errors.py
+++ b/src/waxwinghold/_errors.py
@@ -210,6 +210,18 @@
         )
 
 
+class SuspectPromptError(RequestError):
+    code = "crashing_prompt"
+    status = 422
+    ran = Ran.NOT_RUN
+
+    def __init__(self):
+        super().__init__(
+            "prompts that begin like this one crashed several targets and are "
+            "rejected for some minutes"
+        )
+
+
 class DrainingError(RequestError):
     code = "draining"
     status = 503
--- a/src/waxwinghold/_gateway/suspect_exchange.py
+++ b/src/waxwinghold/_gateway/suspect_exchange.py
@@ -4,20 +4,12 @@
 
 import logbook
 
-from .._decisions.crash_suspects import (
-    DIGEST_BYTES,
-    RECORDS_LIMIT_COUNT,
-    TARGETS_LIMIT_COUNT,
-    LostRequest,
-)
 from .notices import FORMAT, AskSuspectsNotice, SuspectsNotice
 
 log = logbook.Logger("suspects")
 
 NONCE_BITS = 63
 ASK_INTERVAL_MS = 100.0  # Between two questions to the same gateway.
-RECORDS_TOTAL_LIMIT_COUNT = TARGETS_LIMIT_COUNT * RECORDS_LIMIT_COUNT
-PARTS_LIMIT_COUNT = 16
 
 
 class SuspectExchange:
@@ -25,8 +17,7 @@
 
     Nothing is learnt from an unasked datagram: what a notice says counts only if it
     repeats the random number of a question to that address, so that a forged sender
-    address is of no use. Each question is answered with at most
-    ``RECORDS_TOTAL_LIMIT_COUNT`` records.
+    address is of no use.
 
     Args:
         suspects: The ``CrashSuspects``.
@@ -65,21 +56,7 @@
 
     def on_ask(self, ip, notice):
         """Answer an ``AskSuspectsNotice``."""
-        now_ms = self._clock.now_ms()
-        lost = [
-            (
-                lost.target,
-                lost.digest,
-                lost.parts,
-                lost.is_begun,
-                round(now_ms - lost.at_ms),
-            )
-            for lost in self._suspects.lost_requests()
-        ]
-        cleared = [
-            (key, round(now_ms - at_ms))
-            for key, at_ms in self._suspects.cleared_ms().items()
-        ]
+        lost, cleared = self._suspects.records(now_ms=self._clock.now_ms())
         answer = SuspectsNotice(
             format=FORMAT,
             echo=notice.nonce,
@@ -98,34 +75,17 @@
             return
         self._asked[ip] = (0, asked_ms)
         self._learnt_versions[ip] = notice.version
-        now_ms = self._clock.now_ms()
-        told = [
-            LostRequest(
-                target=target,
-                digest=digest,
-                parts=parts[:PARTS_LIMIT_COUNT],
-                is_begun=is_begun,
-                at_ms=now_ms - max(0, age_ms),
-            )
-            for target, digest, parts, is_begun, age_ms in notice.lost[
-                :RECORDS_TOTAL_LIMIT_COUNT
-            ]
-        ]
-        self._suspects.merge(
-            [lost for lost in told if _is_valid(lost) and not self._is_alive(lost)],
-            {
-                key: now_ms - max(0, age_ms)
-                for key, age_ms in notice.cleared[
-                    : RECORDS_TOTAL_LIMIT_COUNT * (PARTS_LIMIT_COUNT + 1)
-                ]
-            },
-            now_ms=now_ms,
+        self._suspects.merge_records(
+            notice.lost,
+            notice.cleared,
+            now_ms=self._clock.now_ms(),
+            is_refuted=self._is_alive,
         )
         log.info(
             "crashes learnt",
             extra={
                 "peer": ip,
-                "lost": len(told),
+                "lost": len(notice.lost),
                 "blocked": self._suspects.blocked_count,
             },
         )
@@ -139,7 +99,3 @@
             and target.incarnation == lost.target
             and target.answered_send_ms > lost.at_ms
         )
-
-
-def _is_valid(lost):
-    return all(len(digest) == DIGEST_BYTES for digest in (lost.digest, *lost.parts))
--- a/src/waxwinghold/_messages/__init__.py
+++ b/src/waxwinghold/_messages/__init__.py
@@ -32,6 +32,7 @@
     Chunk,
     Detach,
     End,
+    LostRequestsNotice,
     Probe,
     ProbeReply,
     Refused,
@@ -57,6 +58,7 @@
     "Heartbeat",
     "Hello",
     "Leaving",
+    "LostRequestsNotice",
     "MalformedFrameError",
     "Message",
     "MapBeat",
@@ -102,6 +104,7 @@
     | Heartbeat
     | Hello
     | Leaving
+    | LostRequestsNotice
     | MapBeat
     | MapBeatReply
     | MapClaim
--- a/src/waxwinghold/_messages/requests.py
+++ b/src/waxwinghold/_messages/requests.py
@@ -156,3 +156,18 @@
     crashes: tuple[str, ...]
     condemned: bool = False
     cleared: bool = False
+
+
+class LostRequestsNotice(Message):
+    """Tells other entries of crashed targets, by the parts of the lost prompts.
+
+    Fields:
+        lost: One tuple for each lost request: the target incarnation, the digest of the
+            request, those of its prompt's shared parts, whether the target had begun to
+            answer, and the age of the loss in milliseconds.
+        cleared: Age in milliseconds of the last answer, by the digest of the part or
+            request that was answered.
+    """
+
+    lost: tuple[tuple[str, bytes, tuple[bytes, ...], bool, int], ...]
+    cleared: tuple[tuple[bytes, int], ...] = ()
--- a/tests/test_path_crashers.py
+++ b/tests/test_path_crashers.py
@@ -2,8 +2,11 @@
 
 import asyncio
 
+from waxwinghold._entry.callers import PREFIX_BYTES
+from waxwinghold._entry.process import CRASH_INTERVAL_MS
+
 from .support.case import FleetCase
-from .support.fleet import THREE_WORKERS, until
+from .support.fleet import THREE_WORKERS, TWO_ENGINES, until
 
 POISON = b"poison pill"
 NEIGHBOURS_COUNT = 4
@@ -67,3 +70,20 @@
         await fleet.restore()
         for body in bodies:
             self.assert_answered(await caller.call("entry-b", "stock", body))
+
+    async def test_prompts_with_a_beginning_that_crashes_are_rejected_everywhere(self):
+        fleet = await self.start_fleet(targets=TWO_ENGINES, deadline_ms=8000)
+        caller = fleet.caller()
+        beginning = POISON.decode().ljust(PREFIX_BYTES, "!")
+        for number in range(2):
+            self.arm(fleet)
+            await caller.stream("entry-a", f"{beginning} {number}", 4)
+            await fleet.restore()
+            await asyncio.sleep(CRASH_INTERVAL_MS / 1000)
+        crashes_count = self.crashes_count(fleet)
+        self.arm(fleet)
+        for number, entry in enumerate(("entry-a", "entry-b")):
+            again = await caller.stream(entry, f"{beginning} other {number}", 4)
+            self.assertEqual("crashing_prompt", again.code)
+        self.assertEqual(crashes_count, self.crashes_count(fleet))
+        self.assert_answered(await caller.stream("entry-b", "a sound prompt", 4))
