Do not let an ended suspect hold up an agent's queue

What callers saw: after a suspect request was cancelled, or its deadline passed, while it waited for the target to be idle, no request started there until all running ones ended. Now it is dropped with its end, and its deadline is checked at each tick. Ruled out: the queue itself, which had forgotten it. A gateway's rejection of blocked content at admission now says not_run in its log line, as nothing was sent.

--- a/src/waxwinghold/_agent/runner.py
+++ b/src/waxwinghold/_agent/runner.py
@@ -72,7 +72,8 @@
 
     async def _await_work(self):
         """Wait for ``wake``, but only for one tick while requests are queued."""
-        limit_s = TICK_INTERVAL_MS / 1000 if len(self._queue) else None
+        has_waiting = len(self._queue) or self._delayed_suspect is not None
+        limit_s = TICK_INTERVAL_MS / 1000 if has_waiting else None
         try:
             async with asyncio.timeout(limit_s):
                 await self._wake.wait()
@@ -100,13 +101,26 @@
         work.cancel_error = CancelledError("the caller cancelled the request")
         if work.phase == Phase.WAITING:
             self._queue.remove(work.request_id)
+            self._drop_delayed_suspect(work)
             error = CancelledError("the caller cancelled the request before it started")
             error.ran = error.ran.NOT_RUN
             self.reject(work, error.verdict())
         elif work.task is not None:
             work.task.cancel()
 
+    def _drop_delayed_suspect(self, work):
+        """Let other requests start if ``work`` waits for the target to be idle."""
+        if work is self._delayed_suspect:
+            self._delayed_suspect = None
+            self.wake()
+
     def _reject_expired(self):
+        suspect = self._delayed_suspect
+        if suspect is not None:
+            if self._clock.wall_ms() >= suspect.submit.deadline_at_ms:
+                self._drop_delayed_suspect(suspect)
+                error = DeadlineError("the deadline passed before the target was idle")
+                self.reject(suspect, error.verdict())
         for item in self._queue.expired(self._clock.now_ms()):
             error = DeadlineError("the deadline passed in the queue")
             self.reject(item.payload, error.verdict())
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -14,6 +14,7 @@
 from .._reload import CHECK_INTERVAL_MS
 from .._settings import split_ip_port
 from .._tasks import ProcessTasks
+from .._verdict import Ran
 from .admission_queue import AdmissionQueue
 from .attempts import Attempts
 from .caller_server import CallerServer
@@ -172,7 +173,7 @@
                 "this gateway is stopping", retry_after_ms=RETRY_ELSEWHERE_MS
             )
         admitted = self._admit(call)
-        self._check_content(admitted)
+        self._check_content(admitted, ran=Ran.NOT_RUN)
         started_ms = self.clock.now_ms()
         try:
             await Attempts(gateway=self, admitted=admitted, answer=answer).run()
@@ -296,9 +297,9 @@
         newest_version = self.peers.newest_configuration_version
         return newest_version > self._configuration_version()
 
-    def _check_content(self, admitted):
+    def _check_content(self, admitted, *, ran=Ran.MAY_HAVE_RUN):
         if self.suspects.is_blocked(admitted.content, now_ms=self.clock.now_ms()):
-            raise CrashingRequestError("such requests crashed several targets")
+            raise CrashingRequestError("such requests crashed several targets", ran=ran)
 
     def _ready(self):
         if self._stopping or self.published.table is None:
