Make the tests of a delayed suspect start their first request

Their fake work named a phase that does not exist, so that the first request ended at once and the set-up timed out, with the mend and without it. Ruled out: the infinite deadline of the fake, the first guess.

--- a/tests/test_agent_runner.py
+++ b/tests/test_agent_runner.py
@@ -11,6 +11,7 @@
 from waxwinghold._sheet.model import Kind
 
 LIMIT_S = 2.0
+FAR_MS = Clock().wall_ms() + 3_600_000.0
 
 
 class FakeClient:
@@ -32,7 +33,7 @@
 class FakeWork:
     """The parts of a ``Work`` that the runner uses."""
 
-    def __init__(self, name, *, suspect=False, deadline_at_ms=float("inf")):
+    def __init__(self, name, *, suspect=False, deadline_at_ms=FAR_MS):
         self.request_id = name
         self.key = self.task = self.cancel_error = None
         self.arrived_ms = 0.0
@@ -42,7 +43,7 @@
         )
 
     def start(self):
-        self.phase = Phase.RUNNING
+        self.phase = Phase.STARTED
 
     def end_with_answer(self, answer, *, now_ms):
         self.phase = Phase.ENDED
