Do not break off a stream for silence when no other target can finish it

What callers saw: a stream that had begun was cut after 1.9 s without an event, a tenth of a second before a caller may leave, also where nobody else could go on. Cause: the last send of a stream kept the time limit that makes room for another send. Now a begun stream that may not run again, or has no send left, waits for its caller, the deadline or the route's time-out. One that may go on elsewhere is moved as before. Evidence: the new test (a pause of 2.3 s, at a gateway that stops) got no whole body before, on a resumable and on another route; it passes now.

--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -239,6 +239,9 @@
         While a group is stalled, a request keeps its slot there: the group's other
         ranks are stalled too, and another send would only start from the beginning.
 
+        A stream that no other target may finish is not broken off for silence: its
+        caller decides how long to wait.
+
         Raises:
             SilentTargetError: Nothing arrived in time. If another target has a free
                 slot, it is raised early enough for that target to continue.
@@ -250,9 +253,10 @@
             elsewhere = self._route.repeatable and self._has_another
             if elsewhere and self._has_slot_elsewhere():
                 raise
-        rest_ms = min(
-            self._left_ms(), LAST_SILENCE_SHARE * stream_gap_ms(self._route) - waited_ms
-        )
+        rest_ms = self._left_ms()
+        if elsewhere or not self._progress.started:
+            gap_ms = LAST_SILENCE_SHARE * stream_gap_ms(self._route)
+            rest_ms = min(rest_ms, gap_ms - waited_ms)
         return await self._within(read(), rest_ms)
 
     def _check_pace(self, target):
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -23,6 +23,7 @@
 
     Attributes:
         leaving: Whether every answer announces that the worker leaves.
+        pause_s: Pause in a stream in seconds, for the behaviour ``stream_paused``.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
         body: Body of an answer that is not a stream.
         runs: ``Attempt-Id`` of each request that was run, in the order of arrival.
@@ -52,6 +53,7 @@
         self.previous_name = name
         self._restart_task = None
         self.leaving = False
+        self.pause_s = 0.0
         self.pause_text = ""
         self.name = name
         self.behaviour = behaviour
@@ -215,6 +217,15 @@
         await asyncio.sleep(3600)
         return False
 
+    async def _answer_stream_paused(self, request, writer):
+        """Send a whole stream with a pause of ``pause_s`` after two events."""
+        await self._stream(request, writer, stop_after=2, end=False)
+        await asyncio.sleep(self.pause_s)
+        for number in range(3, self.events_count + 1):
+            writer.write(http_chunk(stream_event(number)))
+        writer.write(b"0\r\n\r\n")
+        return True
+
     async def _answer_stream_unframed(self, request, writer):
         """Send a whole stream that ends with its connection."""
         await self._stream(
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -201,6 +201,30 @@
         self.assertEqual(body.count(b"id:"), 2)
 
 
+class SilentStreamTests(PathCase):
+    async def test_a_stream_that_nobody_else_can_finish_outlasts_a_silent_target(self):
+        # It was broken off after 1.9 s of silence, also while the gateway stopped.
+        for path in ("/once/a", "/stream/a"):
+            with self.subTest(path=path):
+                fixture = await self.fixture("stream_paused")
+                fixture.workers[0].pause_s = 2.3
+                routes = [
+                    {**route, "max-attempts": 1, "timeout-ms": 8000}
+                    for route in standard_routes()
+                ]
+                fixture.store.put("op/config", configuration(version=2, routes=routes))
+                async with asyncio.timeout(2):
+                    while fixture.gateway.published.table.configuration.version != 2:
+                        await asyncio.sleep(0.01)
+                call = asyncio.create_task(fixture.call(path, method="POST"))
+                await asyncio.sleep(0.2)
+                fixture.gateway._begin_stop()
+                status, _, body = await call
+                self.assertEqual(status, 200)
+                self.assertIsNotNone(body)
+                self.assertEqual(body.count(b"id:"), 5)
+
+
 class UnframedStreamTests(PathCase):
     """A stream without length or chunks ends with its connection."""
 
