Let new gateways wait for a lost configuration only, not for any newer one

Gateways now announce a version only while the store may have lost it: from a new era until the store shows that version or a higher one. A gateway that should have peers listens for one for 2 s at most before it runs requests with keys: without that, the test's newcomer ran a revoked key before the first notice (it failed once so, 200 for 503).

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -40,6 +40,7 @@
 # For this long after its start a gateway waits for the operator to write again what the
 # other gateways have and a store that came back from a copy has lost.
 NEWCOMER_MS = 30_000.0
+LISTEN_MS = 2000.0  # Two intervals of the notices of many gateways.
 RETRY_ELSEWHERE_MS = 50.0  # Another gateway may be able to serve at once.
 # Time for the platform to stop sending callers: it checks the readiness every second
 # and reacts to the second failed check.
@@ -77,7 +78,7 @@
             target_pool=self.target_pool,
             waiting_counts=self._waiting_counts,
             suspects=self.suspects,
-            configuration_version=self._configuration_version,
+            lost_version=lambda: self.published.lost_version,
         )
         self.readers = StoreReaders(
             clock=clock,
@@ -279,23 +280,23 @@
             )
         if self.settings.strict_keys and self._is_outdated_newcomer():
             raise UnconfiguredError(
-                "the other gateways have a newer configuration",
+                "the other gateways may have a configuration that the store has lost",
                 retry_after_ms=RETRY_ELSEWHERE_MS,
             )
 
-    def _configuration_version(self):
-        table = self.published.table
-        return table.configuration.version if table else 0
-
     def _is_outdated_newcomer(self):
         """Return whether this gateway started with an old copy of the store.
 
         The other gateways may know of a revocation that the store has lost.
         """
-        if self.clock.now_ms() - self._started_ms > NEWCOMER_MS:
+        table = self.published.table
+        version = table.configuration.version if table else 0
+        running_ms = self.clock.now_ms() - self._started_ms
+        if running_ms > NEWCOMER_MS:
             return False
-        newest_version = self.peers.newest_configuration_version
-        return newest_version > self._configuration_version()
+        if running_ms <= LISTEN_MS and self.peers.is_unheard():
+            return True
+        return self.peers.newest_lost_version > version
 
     def _check_content(self, admitted, *, ran=Ran.MAY_HAVE_RUN):
         if self.suspects.is_blocked(admitted.content, now_ms=self.clock.now_ms()):
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -28,7 +28,8 @@
             0 if that is nothing.
         leaving: Targets, with their incarnations, that announced to the sender a short
             while ago that they leave.
-        configuration_version: Version of the configuration in force; 0 for none.
+        lost_version: Version of the configuration in force at the sender, if the store
+            may have lost it; 0 otherwise.
     """
 
     format: int
@@ -41,7 +42,7 @@
     waiting: dict[str, int]
     suspects_version: int = 0
     leaving: list[str] = []
-    configuration_version: int = 0
+    lost_version: int = 0
 
 
 class RankNotice(msgspec.Struct, array_like=True, frozen=True, tag="rank"):
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -57,7 +57,7 @@
             kept up to date.
         waiting_counts: Returns the number of queued requests by service.
         suspects: The ``CrashSuspects`` that the gateways share.
-        configuration_version: Returns the version in force at this gateway.
+        lost_version: Returns the version in force here if the store may have lost it.
 
     Attributes:
         handlers: Functions for all notices but ``GatewayNotice``, by class; called
@@ -73,7 +73,7 @@
         target_pool,
         waiting_counts,
         suspects,
-        configuration_version,
+        lost_version,
     ):
         super().__init__(ip=settings.peers_ip, port=settings.peers_port)
         self._clock = clock
@@ -81,7 +81,7 @@
         self._target_pool = target_pool
         self._waiting_counts = waiting_counts
         self._suspects = suspects
-        self._configuration_version = configuration_version
+        self._lost_version = lost_version
         self._suspect_exchange = SuspectExchange(
             clock=clock, suspects=suspects, target_pool=target_pool, send=self.send
         )
@@ -117,12 +117,20 @@
             ip < own_ip for ip, peer in self._peers.items() if peer.notice is not None
         )
 
+    def is_unheard(self):
+        """Return whether there should be other gateways, but none was heard yet."""
+        return bool(self._seed_ips) and self.gateways_count == 1
+
     @property
-    def newest_configuration_version(self):
-        """Return the highest version that is in force at another active gateway."""
+    def newest_lost_version(self):
+        """Return the highest version at another gateway that the store may have lost.
+
+        Returns:
+            0 if there is none.
+        """
         return max(
             (
-                peer.notice.configuration_version
+                peer.notice.lost_version
                 for peer in self._peers.values()
                 if peer.notice is not None
             ),
@@ -214,7 +222,7 @@
             self._waiting_counts(),
             self._suspects.version,
             self._target_pool.signals.told_leaving(now_ms=now_ms),
-            self._configuration_version(),
+            self._lost_version(),
         )
         self._quiet_rounds_count += 1
         if (
@@ -237,7 +245,7 @@
             waiting=state[1],
             suspects_version=state[2],
             leaving=state[3],
-            configuration_version=state[4],
+            lost_version=state[4],
         )
         data = encoder.encode(notice)
         if len(data) > LIMIT_BYTES:
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -28,6 +28,8 @@
 
     Attributes:
         table: The ``RouteTable`` of the configuration in force, or ``None``.
+        lost_version: Version of the configuration in force, if the store came back
+            from a copy since it was accepted and has not shown it again; 0 otherwise.
         asked_ms: When the call to the store was sent that confirmed this copy.
     """
 
@@ -46,6 +48,7 @@
         self._written_names = set()
         self._listed = {}
         self.table = None
+        self.lost_version = 0
         self.asked_ms = NEVER_MS
 
     @property
@@ -69,6 +72,8 @@
 
     def apply_configuration(self, configuration):
         """Put ``configuration`` in force if it is newer than the current one."""
+        if configuration.version >= self.lost_version:
+            self.lost_version = 0
         if self.table is not None:
             current_version = self.table.configuration.version
             if configuration.version <= current_version:
@@ -96,6 +101,8 @@
         self.record_failure("the store came back from a copy")
         self._restored_ms = self._clock.now_ms()
         self._before_restore = dict(self._targets)
+        if self.table is not None:
+            self.lost_version = self.table.configuration.version
         self._written_names.clear()
 
     def record_written(self, name):
--- a/tests/test_store_eras.py
+++ b/tests/test_store_eras.py
@@ -64,6 +64,17 @@
             self.put_worker(f"new-{number}")
         await self.until(lambda: "new-2" in self.names())
 
+    async def test_a_configuration_is_lost_only_until_the_store_has_it_again(self):
+        await self.begin("i-1")
+        copy = self.store.snapshot()
+        self.store.put("op/config", configuration(version=2))
+        await self.until(lambda: self.version == 2)
+        self.assertEqual(self.published.lost_version, 0)
+        self.store.restore(copy)
+        await self.until(lambda: self.published.lost_version == 2)
+        self.store.put("op/config", configuration(version=2))
+        await self.until(lambda: self.published.lost_version == 0)
+
     async def test_a_target_that_had_left_does_not_come_back(self):
         await self.begin("i-1", "i-2")
         copy = self.store.snapshot()
@@ -187,6 +198,9 @@
             await self.until(fleet, version=3)
             await fleet.stop_gateway(1)
             fleet.store.restore(copy)
+            async with asyncio.timeout(5):
+                while not fleet.gateways[0].published.lost_version:
+                    await asyncio.sleep(0.01)
             fleet.start_gateway(1)
             await fleet.wait_ready()
             for _ in range(10):
