Take the ports of tests from outside the kernel's ephemeral range

Two tests failed once each in runs of tests.test_gateway_path beside other test runs: test_an_unframed_answer_comes_back_whole with an error, and test_a_target_never_runs_more_requests_than_its_slots with 503 for all 30 calls. Cause: the fixture looked for a free port among the ephemeral ones, where the kernel gives the same port to another process before the gateway listens. The gateway then ended, the readiness check still passed, and the other process's gateway answered the calls. Now one free_port for all tests, below the range, never the same port twice; a gateway that ended fails the fixture by its error.

--- a/tests/entry_builder.py
+++ b/tests/entry_builder.py
@@ -1,8 +1,6 @@
 """Starts entries inside a test, each with its own keys and ports."""
 
 import asyncio
-import contextlib
-import socket
 from dataclasses import dataclass, field
 
 import zmq
@@ -11,12 +9,7 @@
 from waxwinghold._entry.process import EntryProcess
 from waxwinghold._settings import EntrySettings, KnownKey, Peer
 
-
-def free_port():
-    """Return a port that nothing listens on."""
-    with contextlib.closing(socket.socket()) as free_socket:
-        free_socket.bind(("127.0.0.1", 0))
-        return free_socket.getsockname()[1]
+from .support.ports import free_port
 
 
 def make_keys():
--- a/tests/support/fleet.py
+++ b/tests/support/fleet.py
@@ -12,12 +12,12 @@
 
 from .caller import Caller
 from .nodes import AgentNode, EntryNode, TargetNode, http_url
+from .ports import free_port
 from .sheet_document import (
     AGENT_KEYS,
     ENTRY_KEYS,
     KNOWN_KEYS,
     TOKEN_SECRET,
-    free_port,
     make_document,
 )
 from .wire import Wire
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -15,6 +15,8 @@
 from waxwinghold_standins.fleet_store import FleetStore, route_entry, worker_entry
 from waxwinghold_standins.fleet_worker import FleetWorker
 
+from .ports import free_port
+
 HOST = "shop.example"
 KEY = "key-of-a-customer"
 READY_LIMIT_S = 5.0
@@ -33,13 +35,6 @@
         return int(self.time_ms)
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    """Return an unused port of the loopback address."""
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
-
-
 def configuration(version=1, routes=(), tenants=None, **fields):
     """Return a configuration in the format that operators write."""
     if tenants is None:
@@ -180,6 +175,10 @@
                 list(self.gateway.target_pool)
             ) < len(self.workers):
                 await asyncio.sleep(0.01)
+        # Another process may have taken the free port; its gateway would answer.
+        await asyncio.sleep(0)
+        if self.task.done():
+            await self.task
 
     async def readiness(self):
         """Return the status of the readiness check, or ``None`` without an answer."""
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -11,7 +11,8 @@
 from waxwinghold_standins.fleet_store import FleetStore, worker_entry
 from waxwinghold_standins.fleet_worker import FleetWorker
 
-from .gateway import HOST, KEY, READY_LIMIT_S, configuration, free_port, make_gateway
+from .gateway import HOST, KEY, READY_LIMIT_S, configuration, make_gateway
+from .ports import free_port
 
 
 class GatewayFleet:
--- a/tests/support/sheet_document.py
+++ b/tests/support/sheet_document.py
@@ -1,35 +1,12 @@
-"""The sheet, the keys and the ports of a test fleet."""
+"""The sheet and the keys of a test fleet."""
 
 import hashlib
-import random
-import socket
 
 import zmq
 
 TOKEN_SECRET = "s" * 32
 
 
-# Below the host's range of ephemeral ports, so that no outgoing connection takes
-# a port between its check and its use.
-PORTS = range(12_000, 30_000)
-_returned_ports = set()
-
-
-def free_port():
-    """Return a free port of the loopback that was not returned before."""
-    while True:
-        port = random.choice(PORTS)
-        if port in _returned_ports:
-            continue
-        with socket.socket() as probe:
-            try:
-                probe.bind(("127.0.0.1", port))
-            except OSError:
-                continue
-        _returned_ports.add(port)
-        return port
-
-
 def key_pair():
     """Return a CURVE key pair in Z85: the public key and the secret key."""
     return tuple(key.decode() for key in zmq.curve_keypair())
