--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -19,6 +19,7 @@
         events_count: Number of events in a complete stream.
         event_ms: Time between two events of a stream.
         crash_part: Id of a prompt part that crashes the worker as it begins an answer.
+        crash_path: Path of requests that crash the worker before it answers.
         restart_ms: Time from a crash until the worker listens again.
         on_restart: Called with the worker as it listens again, under a new name.
 
@@ -46,11 +47,13 @@
         events_count=5,
         event_ms=5.0,
         crash_part="",
+        crash_path="",
         restart_ms=300.0,
         on_restart=lambda worker: None,
     ):
         super().__init__()
         self.crash_part = crash_part
+        self.crash_path = crash_path
         self.restart_ms = restart_ms
         self.on_restart = on_restart
         self.crash_times_s = []
@@ -79,7 +82,10 @@
             writer.write(answer_bytes(421, headers))
             return True
         if self.crash_part and self.crash_part in shared_parts(request):
-            return await self._crash(request, writer)
+            return await self._crash_in_answer(request, writer)
+        if self.crash_path and self.crash_path == request.path:
+            self.record_run(request)
+            return self._crash()
         return await getattr(self, f"_answer_{self.behaviour}")(request, writer)
 
     async def stop(self):
@@ -87,12 +93,16 @@
             self._restart_task.cancel()
         await super().stop()
 
-    async def _crash(self, request, writer):
-        """Begin an answer, then end every connection and restart some time later."""
+    async def _crash_in_answer(self, request, writer):
+        """Begin an answer, then crash."""
         headers = [*self.record_run(request), ("Content-Type", "text/event-stream")]
         headers.append(("Transfer-Encoding", "chunked"))
         writer.write(answer_bytes(200, headers, with_length=False))
         await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+        return self._crash()
+
+    def _crash(self):
+        """End every connection, and restart some time later."""
         if self._restart_task is None or self._restart_task.done():
             self.crash_times_s.append(asyncio.get_running_loop().time())
             self._server.close()
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -1,4 +1,4 @@
-"""Several gateways for tests, with workers that one prompt part crashes."""
+"""Several gateways for tests, with workers that some requests crash."""
 
 import asyncio
 import collections
@@ -155,22 +155,38 @@
         """
         request_id = next(self._request_ids)
         entries = [f"{part}:40" for part in (*parts, f"own-{request_id}")]
-        headers = {
+        headers = {"Credential": key, "Prompt-Prefix": ",".join(entries)}
+        status, body, _ = await self.call(
+            index, "/stream/a", method="POST", data=request_id, headers=headers
+        )
+        return status, body
+
+    async def call(self, index, path, *, method="GET", data=None, headers=None):
+        """Send a request, with an id of its own.
+
+        Args:
+            index: Number of the gateway.
+
+        Returns:
+            ``(status, body, headers)`` of the answer; the first two are ``None`` if
+            it is incomplete.
+        """
+        sent = {
             "Host": HOST,
-            "Attempt-Id": request_id,
-            "Credential": key,
+            "Attempt-Id": next(self._request_ids),
+            "Credential": KEY,
             "Deadline-Ms": "8000",
-            "Prompt-Prefix": ",".join(entries),
+            **(headers or {}),
         }
-        url = f"http://{self.ips[index]}:{self._port}/stream/a"
+        url = f"http://{self.ips[index]}:{self._port}{path}"
         async with aiohttp.ClientSession() as session:
             try:
-                async with session.post(
-                    url, headers=headers, data=request_id
+                async with session.request(
+                    method, url, headers=sent, data=data
                 ) as answer:
-                    return answer.status, await answer.read()
+                    return answer.status, await answer.read(), answer.headers
             except aiohttp.ClientError:
-                return None, None
+                return None, None, {}
 
     def crash_times_s(self):
         """Return when workers crashed, in order."""
@@ -185,6 +201,15 @@
             if part in request.headers.get("prompt-prefix", "")
         )
 
+    def path_arrivals(self, path):
+        """Return the time of each arrival of a request for ``path`` at a worker."""
+        return sorted(
+            request.arrived_s
+            for worker in self.workers
+            for request in worker.requests
+            if request.path == path
+        )
+
     def _register(self, worker):
         entry = worker_entry(service="models", address=worker.address)
         self.store.put(f"servers/{worker.name}", entry)
