Let only answers that show a run clear a request that crashes targets

Callers and operators saw a request crash target after target: each error answer to it, passed on to all gateways, cleared it, and three more targets had to end before it was blocked again.

Cause: record_answer took any answer for evidence that the content is sound. A failing target answers with an error without beginning to run the request.

shows_run decides for both stacks: an answer below 400 does; an error only shows that its target is alive, so that it still refutes the crash of that target. Entries had the same fault in their suspects.

Ruled out: that errors come from other requests (the clearing is by digest).

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -6,9 +6,9 @@
 ``tests.test_decisions_crash_suspects`` replays both.
 
 A part gets the blame for a crash only if a request with it was lost there before any
-of its answer arrived. Any answer clears the parts of its request. A part that explains
-crashes takes the blame for them from the parts beside it, so that a part which every
-request has is not blocked for another one.
+of its answer arrived. An answer that shows a run clears its request and the parts of
+it. A part that explains crashes takes the blame for them from the parts beside it, so
+that a part which every request has is not blocked for another one.
 """
 
 import functools
@@ -36,6 +36,15 @@
 EVIDENCE_LIMIT_COUNT = TRUSTED_CRASHES_LIMIT_COUNT
 ANSWERS_LIMIT_COUNT = 4096  # Parts with an answer within ``TRUST_MS``.
 DIGEST_BYTES = 6
+FIRST_CLIENT_ERROR_STATUS = 400
+
+
+def shows_run(status):
+    """Return whether an answer with this HTTP status shows a run without a crash.
+
+    Targets also give errors to requests that they did not begin to run.
+    """
+    return status < FIRST_CLIENT_ERROR_STATUS
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -137,7 +146,7 @@
         if self._add(lost):
             self._decide()
 
-    def record_answer(self, content, *, target, sent_ms, now_ms):
+    def record_answer(self, content, *, target, sent_ms, has_run, now_ms):
         """Record that a part of an answer arrived.
 
         Args:
@@ -145,11 +154,19 @@
             target: Name and incarnation of the target that answered.
             sent_ms: When the request was sent. A target that answers what was sent
                 later than its crash has not crashed.
+            has_run: Whether the answer shows that the target ran the request. A target
+                may answer with an error without beginning to.
         """
         crash = self._crashes.get(target)
         is_refuted = crash is not None and sent_ms > crash.at_ms
         if is_refuted:
             del self._crashes[target]
+        is_cleared = has_run and self._clear_content(content, now_ms)
+        if is_refuted or is_cleared:
+            self._decide()
+
+    def _clear_content(self, content, now_ms):
+        """Record a run of the content; return whether it clears anything."""
         is_cleared = False
         for part in content.parts:
             self._answered_ms[part] = now_ms
@@ -158,8 +175,7 @@
         if self._crashes and not is_cleared:
             is_cleared = self._clear(content.digest, now_ms)
         self._drop_answers(now_ms)
-        if is_refuted or is_cleared:
-            self._decide()
+        return is_cleared
 
     def is_blocked(self, content, *, now_ms):
         """Return whether requests with this content must not be sent."""
--- a/src/waxwinghold/_entry/attempts.py
+++ b/src/waxwinghold/_entry/attempts.py
@@ -2,6 +2,7 @@
 
 import logbook
 
+from .._decisions.crash_suspects import shows_run
 from .._errors import (
     DeadlineError,
     DrainingError,
@@ -82,7 +83,7 @@
                 continue
             finally:
                 self._sender.release()
-            self._process.record_success(self._request)
+            self._process.record_answer(self._request, has_run=shows_run(answer.status))
             return answer
 
     async def stream(self):
@@ -107,7 +108,7 @@
                 continue
             finally:
                 self._sender.release()
-            self._process.record_success(self._request)
+            self._process.record_answer(self._request, has_run=True)
             return
 
     def abandon(self):
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -137,19 +137,25 @@
             _prompt_content(request), now_ms=self.clock.now_ms()
         )
 
-    def record_success(self, request):
-        """Record that a request was answered completely."""
+    def record_answer(self, request, *, has_run):
+        """Record that a request was answered completely.
+
+        Args:
+            request: The ``CallRequest``.
+            has_run: Whether the answer shows that the target ran the request.
+        """
         version = self.crash_suspects.version
         self.crash_suspects.record_answer(
             _prompt_content(request),
             target="",
             sent_ms=0.0,
+            has_run=has_run,
             now_ms=self.clock.now_ms(),
         )
         if self.crash_suspects.version != version:
             self.peers.broadcast(self.lost_requests_notice())
         self._retry_after_schedule.record_completed(now_ms=self.clock.now_ms())
-        notice = self.suspects.record_success(request.digest)
+        notice = self.suspects.record_run(request.digest) if has_run else None
         if notice is not None:
             self.peers.broadcast(notice)
 
--- a/src/waxwinghold/_entry/suspects.py
+++ b/src/waxwinghold/_entry/suspects.py
@@ -64,8 +64,8 @@
         self._mark_seen(digest, suspect)
         return self._notice(digest, suspect)
 
-    def record_success(self, digest):
-        """Clear a suspect that was answered.
+    def record_run(self, digest):
+        """Clear a suspect that a target ran without a crash.
 
         Returns:
             The notice for other entries; ``None`` if nothing was cleared.
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from .._decisions.crash_suspects import RequestContent
+from .._decisions.crash_suspects import RequestContent, shows_run
 from .._decisions.sends import SHORTEST_SEND_MS
 from .errors import (
     ConnectionLostError,
@@ -213,7 +213,7 @@
         while data := await self._piece(connection, connection.body):
             parts.append(data)
         body = b"".join(parts)
-        self._record_first_answer(target)
+        self._record_first_answer(target, has_run=shows_run(head.status))
         if head.status >= FIRST_ERROR_STATUS:
             target.record_error_answer()
             if self._may_repeat() or not self._is_alone():
@@ -233,7 +233,7 @@
             if not data:
                 break
             if not self.has_data:
-                self._record_first_answer(target)
+                self._record_first_answer(target, has_run=True)
             try:
                 events = splitter.feed(data)
             except EventTooLongError as error:
@@ -355,7 +355,7 @@
         can_repeat = self._route.repeatable and self._has_another
         return can_repeat and self._left_ms() > SHORTEST_SEND_MS
 
-    def _record_first_answer(self, target):
+    def _record_first_answer(self, target, *, has_run):
         self.has_data = True
         now_ms = self._clock.now_ms()
         self._admission_queue.first_answer_time.record(now_ms - self._sent_ms)
@@ -364,6 +364,7 @@
             self._admitted.content,
             target=target.incarnation,
             sent_ms=self._sent_ms,
+            has_run=has_run,
             now_ms=now_ms,
         )
 
--- a/src/waxwinghold_standins/_faults.py
+++ b/src/waxwinghold_standins/_faults.py
@@ -16,6 +16,7 @@
     Args:
         unhealthy: Health checks report the target as unhealthy.
         refuse: New requests are rejected with 503 and do not run.
+        fails: A service answers each call with 500, without running it.
         stalled: No step or call makes progress.
         crash_marker: A request whose prompt or body contains this text crashes the
             target.
@@ -33,6 +34,7 @@
 
     unhealthy: bool = False
     refuse: bool = False
+    fails: bool = False
     stalled: bool = False
     crash_marker: str | None = None
     drop_after_count: int | None = None
--- a/src/waxwinghold_standins/service.py
+++ b/src/waxwinghold_standins/service.py
@@ -51,6 +51,8 @@
         if rejection is not None:
             return rejection
         body = await request.read()
+        if self.faults.fails:
+            return json_answer({"reason": "out of order"}, status=500)
         marker = self.faults.crash_marker
         if marker and marker.encode() in body:
             await self.crash()
--- a/tests/test_decisions_crash_suspects.py
+++ b/tests/test_decisions_crash_suspects.py
@@ -76,7 +76,11 @@
             self.sound_blocked_count += is_blocked
         if not is_blocked and now_ms >= self._stalled_until_ms:
             gateway.record_answer(
-                request, target="alive", sent_ms=now_ms - 100, now_ms=now_ms
+                request,
+                target="alive",
+                sent_ms=now_ms - 100,
+                has_run=True,
+                now_ms=now_ms,
             )
 
     def _crashing(self, now_ms):
@@ -150,9 +154,13 @@
             now_ms=self.now_ms if at_ms is None else at_ms,
         )
 
-    def answer(self, request, *, target="other", sent_ms=0.0):
+    def answer(self, request, *, target="other", sent_ms=0.0, has_run=True):
         self.suspects.record_answer(
-            request, target=target, sent_ms=sent_ms, now_ms=self.now_ms
+            request,
+            target=target,
+            sent_ms=sent_ms,
+            has_run=has_run,
+            now_ms=self.now_ms,
         )
 
     def is_blocked(self, request):
@@ -226,6 +234,13 @@
         self.answer(content("b"), target="t1", sent_ms=self.now_ms)
         self.assertFalse(self.is_blocked(content("a")))
 
+    def test_an_error_of_a_target_refutes_its_crash_but_clears_no_part(self):
+        self.crash_part("a")
+        self.answer(content("a"), has_run=False)
+        self.assertTrue(self.is_blocked(content("a")))
+        self.answer(content("a"), target="t1", sent_ms=self.now_ms, has_run=False)
+        self.assertFalse(self.is_blocked(content("a")))
+
     def test_a_suspicious_request_is_not_sent_again(self):
         request = content("a", call="first")
         self.crash(request, target="t0")
--- a/tests/test_decisions_crashing_requests.py
+++ b/tests/test_decisions_crashing_requests.py
@@ -122,13 +122,17 @@
             if now_ms - self._started_ms.get(gateway, 0.0) > CONTACT_MS:
                 self.sends_ms[request.digest].append(now_ms)
             if self.rng.random() < self.error_ratio:
-                self._answer(gateway, request, target, now_ms)
+                self._answer(gateway, request, target, now_ms, has_run=False)
             else:
                 self._crash(gateway, request, target, now_ms)
 
-    def _answer(self, gateway, request, target, now_ms):
+    def _answer(self, gateway, request, target, now_ms, *, has_run=True):
         gateway.record_answer(
-            request, target=target.incarnation, sent_ms=now_ms, now_ms=now_ms
+            request,
+            target=target.incarnation,
+            sent_ms=now_ms,
+            has_run=has_run,
+            now_ms=now_ms,
         )
 
     def _crash(self, gateway, request, target, now_ms):
--- a/tests/test_entry_silent_targets.py
+++ b/tests/test_entry_silent_targets.py
@@ -35,7 +35,7 @@
         process = SimpleNamespace(
             clock=clock,
             budget=SimpleNamespace(take_retry=lambda *, now_ms: has_retry),
-            record_success=lambda request: None,
+            record_answer=lambda request, has_run: None,
             retry_after_ms=lambda time_ms: time_ms,
         )
         request = SimpleNamespace(
--- a/tests/test_path_crashers.py
+++ b/tests/test_path_crashers.py
@@ -7,6 +7,7 @@
 )
 from waxwinghold._entry.callers import PREFIX_BYTES
 from waxwinghold._entry.process import CRASH_INTERVAL_MS
+from waxwinghold._keys import content_digest
 
 from .support.case import FleetCase
 from .support.fleet import THREE_WORKERS, TWO_ENGINES, until
@@ -71,6 +72,22 @@
             self.assertLess(again.elapsed_ms, 500)
         self.assertEqual(CRASHES_LIMIT_COUNT, self.crashes_count(fleet))
 
+    async def test_an_error_of_a_target_does_not_clear_a_suspect(self):
+        # An error without a run let the request crash two more targets.
+        fleet = await self.start_fleet(targets=THREE_WORKERS, deadline_ms=8000)
+        suspects = fleet.entries["entry-a"].process.suspects
+        digest = content_digest(service="booking", call="stock", body=POISON)
+        suspects.record_crash(digest, target="worker/1", alone=False)
+        for target in fleet.targets.values():
+            target.set_faults(fails=True)
+        failed = await fleet.caller().call("entry-a", "stock", POISON)
+        self.assertEqual(500, failed.status)
+        self.assertTrue(suspects.is_suspect(digest))
+        for target in fleet.targets.values():
+            target.set_faults(fails=False)
+        self.assert_answered(await fleet.caller().call("entry-a", "stock", POISON))
+        self.assertFalse(suspects.is_suspect(digest))
+
     async def test_requests_beside_a_crashing_one_are_answered(self):
         fleet = await self.start_workers()
         caller = fleet.caller()
