Reproduce targets that get more requests than the limit that they name

Targets name in Server-Limit how many requests a second they take from all gateways; nothing reads it. With three gateways a target that named 2 a second got 28 and 26 requests in 4 s, 17 are allowed.

FleetWorker names a limit in its answers.

--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -30,6 +30,7 @@
             ``endless_shed`` and ``endless_late``.
         endless_bytes: Bytes of endless answers sent so far.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
+        limit_text: Value of ``Server-Limit`` in answers; empty for none.
         body: Body of an answer that is not a stream.
         runs: ``Attempt-Id`` of each request that was run, in the order of arrival.
         requests: Every ``RawRequest`` that arrived.
@@ -62,6 +63,7 @@
         self.leaving = False
         self.pause_s = 0.0
         self.pause_text = ""
+        self.limit_text = ""
         self.endless = "chunked"
         self.endless_bytes = 0
         self.name = name
@@ -127,11 +129,14 @@
             ("Attempt-Id", attempt_id),
             (SEAL_HEADER, f"seal.{self.name}"),
             ("Server-Load", f"{self.running_count},0,6"),
-            *self._leaving_headers(),
+            *self._signal_headers(),
         ]
 
-    def _leaving_headers(self):
-        return [("Server-Leaving", "1")] if self.leaving else []
+    def _signal_headers(self):
+        headers = [("Server-Leaving", "1")] if self.leaving else []
+        if self.limit_text:
+            headers.append(("Server-Limit", self.limit_text))
+        return headers
 
     async def _answer_whole(self, request, writer):
         writer.write(answer_bytes(200, self.record_run(request), self.body))
@@ -159,7 +164,7 @@
 
     async def _answer_shed(self, request, writer):
         """Reject the request without running it."""
-        headers = [("Not-Executed", "1"), *self._leaving_headers()]
+        headers = [("Not-Executed", "1"), *self._signal_headers()]
         if self.pause_text:
             headers.append(("Retry-After", self.pause_text))
         writer.write(answer_bytes(503, headers))
