Keep the limits that targets name, shared by all gateways

Targets that named in Server-Limit how many requests a second they take from all gateways got as many as without it: 28 in 4 s at 2 a second, 17 allowed.

Cause: nothing read the header. The class of fault: what a target says is not part of the decision who gets a request.

Ways weighed: equal shares leave most of a small limit unused where few gateways have callers (1 a second at 98 gateways: a request each 98 s); shares by demand, from counts that lag, let many gateways send at once. So one gateway at a time, chosen by rendezvous among the active ones, issues permits for a target, one a request, and the others ask it. Its permits follow the limit with a burst of half a second; an unused one ends after 1.5 s, so that what may come in any 4 s stays within one and a half times the limit and 5. A gateway that takes its place begins without any.

_decisions/request_limits.py decides: by incarnation, the later answer counts, an error or an unreadable value ends nothing, forgotten after 20 s. Gateways tell each other by question and answer, as about crashes; AskedExchange is now the one copy of that. A permit counts only as the answer to a question.

Over the limit a request goes to another target. If none takes it, it waits only if a permit is likely while it is on time, and is rejected at once otherwise, with a time to come back that follows the rate of permits.

--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -4,14 +4,20 @@
 import random
 from dataclasses import dataclass
 
-from .._decisions.target_signals import retry_after_pause_ms, shortest_pause_ms
+from .._decisions.request_limits import may_wait
+from .._decisions.target_signals import retry_after_pause_ms
 from .._decisions.waiting import (
     FirstAnswerTime,
     LineEntry,
     ServiceState,
     WaitingLine,
 )
-from .errors import NoFreeSlotError, NoTargetError, PausedTargetsError
+from .errors import (
+    LimitedTargetsError,
+    NoFreeSlotError,
+    NoTargetError,
+    PausedTargetsError,
+)
 
 NO_TARGET_RETRY_AFTER_MS = 500.0  # About the time it takes to replace a lost target.
 MS_PER_SECOND = 1000
@@ -79,10 +85,11 @@
             NoFreeSlotError: The request is rejected.
             NoTargetError: The service has no target outside ``tried``.
             PausedTargetsError: All targets outside ``tried`` asked for a pause.
+            LimitedTargetsError: The same, or they have reached their limits.
         """
         now_ms = self._clock.now_ms()
         self._require_target(tried)
-        self._require_unpaused(tried, now_ms)
+        self._require_open(request, tried, now_ms)
         future = asyncio.get_running_loop().create_future()
         slot = Slot(request=request, tried=tried, future=future)
         decision = self._line.arrive(slot, now_ms=now_ms)
@@ -90,6 +97,7 @@
             _take(slot, decision.target)
             return slot
         if not decision.waits:
+            self._require_open(request, tried, now_ms)
             raise self._no_free_slot(decision.reason, request)
         wait_ms = request.queue_deadline_ms - now_ms
         try:
@@ -126,8 +134,7 @@
 
     def serve_queued(self):
         """Give free slots to the queued requests, in the order of the policy."""
-        if len(self._target_pool.signals):
-            self._reject_paused(self._clock.now_ms())
+        self._reject_held_up(self._clock.now_ms())
         for slot, target in self._line.serve(now_ms=self._clock.now_ms()):
             _take(slot, target)
 
@@ -143,52 +150,86 @@
                 retry_after_ms=NO_TARGET_RETRY_AFTER_MS,
             )
 
-    def _require_unpaused(self, tried, now_ms):
-        """Reject a request that all targets have asked not to get now."""
-        error = self._pause_error(tried, now_ms)
+    def _require_open(self, request, tried, now_ms):
+        """Reject a request that no target takes now, at its own word."""
+        error = self._held_up_error(request, tried, now_ms, ahead_count=len(self._line))
         if error is not None:
             raise error
 
-    def _reject_paused(self, now_ms):
-        """Reject the queued requests that all targets have asked not to get now."""
-        signals = self._target_pool.signals
-        targets = self._target_pool.of_service(self.service)
-        paused = {
+    def _reject_held_up(self, now_ms):
+        """Reject the queued requests that no target takes now, at its own word."""
+        pool = self._target_pool
+        if not (len(pool.signals) or len(pool.permits.limits)):
+            return
+        targets = pool.of_service(self.service)
+        held_up = {
             target.listing.name
             for target in targets
-            if signals.pause_left_ms(target.incarnation, now_ms=now_ms)
+            if self._wait_ms(target, now_ms=now_ms)
         }
-        if not paused:
+        if not held_up:
             return
-        unpaused = [
+        others = [
             target.listing.name
             for target in targets
-            if target.listing.name not in paused
-            and not signals.is_leaving(target.incarnation, now_ms=now_ms)
+            if target.listing.name not in held_up
+            and not pool.signals.is_leaving(target.incarnation, now_ms=now_ms)
         ]
         for slot in self._line.entries():
-            if any(name not in slot.tried for name in unpaused):
+            if any(name not in slot.tried for name in others):
                 continue
-            error = self._pause_error(slot.tried, now_ms)
+            error = self._held_up_error(slot.request, slot.tried, now_ms, ahead_count=0)
             if error is not None and not slot.future.done():
                 self._line.withdraw(slot)
                 slot.future.set_exception(error)
 
-    def _pause_error(self, tried, now_ms):
-        pause_ms = shortest_pause_ms(
-            [
-                target.incarnation
-                for target in self._target_pool.of_service(self.service)
-                if target.listing.name not in tried
-            ],
-            signals=self._target_pool.signals,
-            now_ms=now_ms,
+    def _wait_ms(self, target, *, now_ms):
+        """Return for how long a target takes no request, at its own word."""
+        pool = self._target_pool
+        return max(
+            pool.signals.pause_left_ms(target.incarnation, now_ms=now_ms),
+            pool.permits.wait_ms(target.incarnation),
+        )
+
+    def _held_up_error(self, request, tried, now_ms, *, ahead_count):
+        """Return the error of a request whose targets all pause or are limited.
+
+        Args:
+            ahead_count: Requests that wait for a slot already.
+        """
+        pool = self._target_pool
+        targets = [
+            target
+            for target in pool.of_service(self.service)
+            if target.listing.name not in tried
+            and not pool.signals.is_leaving(target.incarnation, now_ms=now_ms)
+        ]
+        wait_ms = min(
+            (self._wait_ms(target, now_ms=now_ms) for target in targets), default=0.0
         )
-        if pause_ms is None:
+        if not wait_ms:
+            return None
+        limited = [
+            target.incarnation
+            for target in targets
+            if pool.permits.wait_ms(target.incarnation)
+        ]
+        if limited and may_wait(
+            wait_ms=wait_ms,
+            ahead_count=ahead_count,
+            per_second=pool.permits.expected_per_second(limited),
+            start_until_ms=request.start_until_ms,
+            now_ms=now_ms,
+        ):
             return None
+        if limited:
+            return LimitedTargetsError(
+                f'the targets of service "{self.service}" have reached their limits',
+                retry_after_ms=pool.permits.retry_after_ms(limited, wait_ms=wait_ms),
+            )
         return PausedTargetsError(
             f'all targets of service "{self.service}" asked for a pause',
-            retry_after_ms=retry_after_pause_ms(pause_ms, rng=self._rng),
+            retry_after_ms=retry_after_pause_ms(wait_ms, rng=self._rng),
         )
 
     def _no_free_slot(self, reason, request):
@@ -197,6 +238,18 @@
 
     def _choose_target(self, tried, now_ms):
         targets = self._target_pool.of_service(self.service)
+        permits = self._target_pool.permits
+        if len(permits.limits):
+            permits.want(
+                [
+                    target.incarnation
+                    for target in targets
+                    if target.listing.name not in tried
+                    and not permits.may_send(target.incarnation)
+                    and target.is_usable_with_permit(now_ms=now_ms)
+                    and target.free_slots_count(now_ms=now_ms) > 0
+                ]
+            )
         return self._selection_policy.choose(targets, tried=tried, now_ms=now_ms)
 
 
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -14,6 +14,7 @@
     BrokenStreamError,
     CrashingRequestError,
     FailedAnswerError,
+    LimitedTargetsError,
     NoFreeSlotError,
     NoTargetError,
     NotExecutedError,
@@ -29,6 +30,9 @@
 
 log = logbook.Logger("attempts")
 
+# The errors of a request that gets no slot at any target.
+REJECTIONS = (NoFreeSlotError, NoTargetError, PausedTargetsError, LimitedTargetsError)
+
 STALLED_TARGET_AVOID_MS = 1000.0  # A group that lost a rank stalls for seconds.
 
 
@@ -400,7 +404,7 @@
 
         If an earlier send may have run, the error has to say so.
         """
-        if not isinstance(error, (NoFreeSlotError, NoTargetError, PausedTargetsError)):
+        if not isinstance(error, REJECTIONS):
             return error
         if self._ran is Ran.NOT_RUN and not self._progress.started:
             return error
--- a/src/waxwinghold/_gateway/codec.py
+++ b/src/waxwinghold/_gateway/codec.py
@@ -67,6 +67,9 @@
         leaving: Whether the target announces that it leaves.
         pause_ms: How long in milliseconds the target that rejected the request wants
             no further ones; ``None`` if it does not say.
+        limit_per_second: The requests per second that the target takes from all
+            gateways together; ``None`` if it names no limit.
+        has_unreadable_limit: Whether it names one that cannot be read.
     """
 
     request_id: str | None
@@ -75,6 +78,8 @@
     culprit: str
     leaving: bool = False
     pause_ms: float | None = None
+    limit_per_second: float | None = None
+    has_unreadable_limit: bool = False
 
 
 class MessageCodec(abc.ABC):
--- a/src/waxwinghold/_gateway/errors.py
+++ b/src/waxwinghold/_gateway/errors.py
@@ -162,6 +162,13 @@
     status = 503
 
 
+class LimitedTargetsError(RequestError):
+    """Targets of the service have reached their limits, and all others paused."""
+
+    code = "targets_limited"
+    status = 503
+
+
 class StoppingError(RequestError):
     """This gateway is stopping."""
 
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -84,6 +84,12 @@
         self.metrics.gauge(
             "targets_paused", lambda: self._targets_count("pause_left_ms")
         )
+        self.metrics.gauge(
+            "targets_limited",
+            lambda: self.target_pool.permits.limits.limited_count(
+                now_ms=self.clock.now_ms()
+            ),
+        )
         self.peers = Peers(
             clock=clock,
             settings=settings,
@@ -374,6 +380,7 @@
                 queue.serve_queued()
             if ticks % SLOW_TICKS_COUNT == 0:
                 self.published.drop_missing()
+                self.target_pool.permits.forget_ended()
                 self.target_pool.drop_expired_connections(
                     gateways_count=self.peers.gateways_count
                 )
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -17,6 +17,8 @@
 Count = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
 Pace = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 Scale = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+PerSecond = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
+Age = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
 # Datagrams and connections go to these addresses. A name would be looked up, which
 # blocks the process, and some texts end the socket that is to send to them.
 Ip = Annotated[str, msgspec.Meta(pattern=rf"\A(?:{_IP})\Z")]
@@ -43,6 +45,8 @@
             while ago that they leave.
         lost_version: Version of the configuration in force at the sender, if the store
             may have lost it; 0 otherwise.
+        limits_version: Version of what the sender knows about limits of targets; 0 if
+            that is nothing.
     """
 
     format: int
@@ -56,6 +60,7 @@
     suspects_version: int = 0
     leaving: list[str] = []
     lost_version: Count = 0
+    limits_version: Count = 0
 
 
 class RankNotice(msgspec.Struct, array_like=True, frozen=True, tag="rank"):
@@ -269,6 +274,62 @@
     cleared: list[tuple[bytes, int]]
 
 
+class AskLimitsNotice(msgspec.Struct, array_like=True, frozen=True, tag="ask-limits"):
+    """Asks another gateway for the limits that targets have named.
+
+    Args:
+        nonce: A random number that the answer repeats; it cannot be guessed.
+    """
+
+    format: int
+    nonce: int
+
+
+class LimitsNotice(msgspec.Struct, array_like=True, frozen=True, tag="limits"):
+    """Tells another gateway, which has asked, what limits targets have named.
+
+    Args:
+        echo: The nonce of the ``AskLimitsNotice`` that this one answers.
+        version: The sender's ``limits_version``.
+        limits: One tuple for each target: its name and incarnation, the requests per
+            second that it takes, ``None`` if it names no limit any more, and the age
+            of the answer that said so in milliseconds.
+    """
+
+    format: int
+    echo: int
+    version: int
+    limits: list[tuple[str, PerSecond | None, Count]]
+
+
+class AskPermitNotice(msgspec.Struct, array_like=True, frozen=True, tag="ask-permit"):
+    """Asks another gateway for a permit for one request to a target with a limit.
+
+    Args:
+        nonce: A random number that the answer repeats; it cannot be guessed.
+        target: The target's name and incarnation.
+        per_second: The limit of the target, as far as the sender knows.
+    """
+
+    format: int
+    nonce: int
+    target: str
+    per_second: PerSecond
+
+
+class PermitNotice(msgspec.Struct, array_like=True, frozen=True, tag="permit"):
+    """Answers an ``AskPermitNotice``.
+
+    Args:
+        echo: The nonce of the ``AskPermitNotice`` that this one answers.
+        wait_ms: 0 for a permit; otherwise after how many milliseconds to ask again.
+    """
+
+    format: int
+    echo: int
+    wait_ms: Age
+
+
 Notice = (
     GatewayNotice
     | RankNotice
@@ -281,6 +342,10 @@
     | FreshNotice
     | AskSuspectsNotice
     | SuspectsNotice
+    | AskLimitsNotice
+    | LimitsNotice
+    | AskPermitNotice
+    | PermitNotice
 )
 
 encoder = msgspec.msgpack.Encoder()
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -13,12 +13,17 @@
 import msgspec
 
 from .endpoint import NoticeEndpoint
+from .limit_exchange import LimitExchange
 from .notices import (
     FORMAT,
     LIMIT_BYTES,
+    AskLimitsNotice,
+    AskPermitNotice,
     AskSuspectsNotice,
     GatewayNotice,
     GroupNotice,
+    LimitsNotice,
+    PermitNotice,
     RankNotice,
     SuspectsNotice,
     encoder,
@@ -86,6 +91,13 @@
         self._suspect_exchange = SuspectExchange(
             clock=clock, suspects=suspects, target_pool=target_pool, send=self.send
         )
+        permits = target_pool.permits
+        self._limit_exchange = LimitExchange(
+            clock=clock, limits=permits.limits, send=self.send
+        )
+        permits.connect(
+            own_ip=settings.peers_ip, active_ips=self.active_ips, send=self.send
+        )
         self._peers = {}
         self._sequence = 0
         self._started_ms = clock.wall_ms()
@@ -100,6 +112,10 @@
             GroupNotice: self._handle_group,
             AskSuspectsNotice: self._suspect_exchange.on_ask,
             SuspectsNotice: self._suspect_exchange.on_told,
+            AskLimitsNotice: self._limit_exchange.on_ask,
+            LimitsNotice: self._limit_exchange.on_told,
+            AskPermitNotice: permits.on_ask,
+            PermitNotice: permits.on_permit,
         }
 
     @property
@@ -140,6 +156,10 @@
             default=0,
         )
 
+    def active_ips(self):
+        """Return the addresses of the other active gateways."""
+        return [ip for ip, peer in self._peers.items() if peer.notice is not None]
+
     def local_peers(self):
         """Return the addresses of the other active gateways of this data centre."""
         return [
@@ -206,6 +226,7 @@
         if previous is None or previous.counts != notice.counts:
             self._count_peer_requests()
         self._suspect_exchange.on_version(ip, notice.suspects_version)
+        self._limit_exchange.on_version(ip, notice.limits_version)
         if notice.leaving:
             self._target_pool.avoid_leaving(notice.leaving)
 
@@ -234,6 +255,7 @@
             self._suspects.version,
             self._target_pool.signals.told_leaving(now_ms=now_ms),
             self._lost_version(),
+            self._limit_exchange.version(),
         )
         self._quiet_rounds_count += 1
         if (
@@ -244,7 +266,7 @@
         self._last_state = state
         self._quiet_rounds_count = 0
         self._sequence += 1
-        active_ips = [ip for ip, peer in self._peers.items() if peer.notice is not None]
+        active_ips = self.active_ips()
         notice = GatewayNotice(
             format=FORMAT,
             name=self.settings.name,
@@ -257,6 +279,7 @@
             suspects_version=state[2],
             leaving=state[3],
             lost_version=state[4],
+            limits_version=state[5],
         )
         data = encoder.encode(notice)
         if len(data) > LIMIT_BYTES:
@@ -294,6 +317,7 @@
         ]
         for ip in silent:
             self._suspect_exchange.on_silence(ip)
+            self._limit_exchange.on_silence(ip)
             if self._peers.pop(ip).notice is not None:
                 log.info("silent gateway removed", extra={"peer": ip})
         if silent:
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -195,6 +195,7 @@
             head = await self._piece(connection, connection.head)
             metadata = self._gateway.codec.read_answer(head)
             self._record_signals(target, metadata)
+            self._record_limit(target, head, metadata)
             if metadata.request_id in (None, self._call.request_id):
                 self._record_load(target, metadata)
                 return head, metadata
@@ -383,6 +384,28 @@
             details["pause_ms"] = round(metadata.pause_ms)
             log.info("target asked for a pause", extra=details)
 
+    def _record_limit(self, target, head, metadata):
+        """Record the limit that an answer names, or that a run ended without one."""
+        if metadata.has_unreadable_limit:
+            return
+        has_ended = metadata.executed and shows_run(head.status)
+        if metadata.limit_per_second is None and not has_ended:
+            return
+        is_changed = self._gateway.target_pool.permits.limits.record(
+            target.incarnation,
+            per_second=metadata.limit_per_second,
+            now_ms=self._clock.now_ms(),
+        )
+        if is_changed:
+            log.info(
+                "target changed its limit",
+                extra={
+                    "request": self._call.request_id,
+                    "target": target.listing.name,
+                    "per_second": metadata.limit_per_second,
+                },
+            )
+
     def _record_load(self, target, metadata):
         if metadata.load is not None:
             running, waiting = metadata.load
--- a/src/waxwinghold/_gateway/suspect_exchange.py
+++ b/src/waxwinghold/_gateway/suspect_exchange.py
@@ -1,80 +1,43 @@
 """Exchanges with other gateways what is known about requests that crash targets."""
 
-import random
-
 import logbook
 
+from .asked_exchange import AskedExchange
 from .notices import FORMAT, AskSuspectsNotice, SuspectsNotice
 
 log = logbook.Logger("suspects")
 
-NONCE_BITS = 63
-ASK_INTERVAL_MS = 100.0  # Between two questions to the same gateway.
-
 
-class SuspectExchange:
-    """Asks a gateway that knows something else, and answers such questions.
-
-    Nothing is learnt from an unasked datagram: what a notice says counts only if it
-    repeats the random number of a question to that address, so that a forged sender
-    address is of no use.
+class SuspectExchange(AskedExchange):
+    """Exchanges what gateways know about crashes.
 
     Args:
         suspects: The ``CrashSuspects``.
         target_pool: The ``TargetPool``: a target that still answers has not crashed.
-        send: Sends a notice to a gateway, given its address and the notice.
-
-    Attributes:
-        unasked_count: Notices that answered no question.
     """
 
     def __init__(self, *, clock, suspects, target_pool, send):
-        self._clock = clock
+        super().__init__(clock=clock, send=send)
         self._suspects = suspects
         self._target_pool = target_pool
-        self._send = send
-        self._asked = {}
-        self._learnt_versions = {}
-        self.unasked_count = 0
 
-    def on_version(self, ip, version):
-        """Ask the gateway at ``ip`` if its version shows that it knows more."""
-        if version in (0, self._suspects.version, self._learnt_versions.get(ip)):
-            return
-        now_ms = self._clock.now_ms()
-        _, asked_ms = self._asked.get(ip, (0, float("-inf")))
-        if now_ms - asked_ms < ASK_INTERVAL_MS:
-            return
-        nonce = random.SystemRandom().getrandbits(NONCE_BITS) | 1
-        self._asked[ip] = (nonce, now_ms)
-        self._send(ip, AskSuspectsNotice(format=FORMAT, nonce=nonce))
+    def version(self):
+        return self._suspects.version
 
-    def on_silence(self, ip):
-        """Forget a gateway that is no longer active."""
-        self._asked.pop(ip, None)
-        self._learnt_versions.pop(ip, None)
+    def question(self, nonce):
+        return AskSuspectsNotice(format=FORMAT, nonce=nonce)
 
-    def on_ask(self, ip, notice):
-        """Answer an ``AskSuspectsNotice``."""
+    def answer(self, nonce):
         lost, cleared = self._suspects.records(now_ms=self._clock.now_ms())
-        answer = SuspectsNotice(
+        return SuspectsNotice(
             format=FORMAT,
-            echo=notice.nonce,
+            echo=nonce,
             version=self._suspects.version,
             lost=lost,
             cleared=cleared,
         )
-        self._send(ip, answer)
 
-    def on_told(self, ip, notice):
-        """Apply a ``SuspectsNotice`` that answers a question of this gateway."""
-        nonce, asked_ms = self._asked.get(ip, (0, 0.0))
-        if not nonce or notice.echo != nonce:
-            self.unasked_count += 1
-            log.warn("unasked suspects notice ignored", extra={"peer": ip})
-            return
-        self._asked[ip] = (0, asked_ms)
-        self._learnt_versions[ip] = notice.version
+    def learn(self, ip, notice):
         self._suspects.merge_records(
             notice.lost,
             notice.cleared,
--- a/src/waxwinghold/_gateway/targets.py
+++ b/src/waxwinghold/_gateway/targets.py
@@ -10,6 +10,7 @@
 from .._decisions.target_signals import TargetSignals, credible_hints
 from .connection_pool import ConnectionPool
 from .model import TargetState
+from .permits import Permits
 
 log = logbook.Logger("targets")
 
@@ -103,6 +104,7 @@
     Args:
         listing: The ``Target`` that the platform lists.
         signals: The ``TargetSignals`` of all targets.
+        permits: The ``Permits`` for targets that have named a limit.
 
     Attributes:
         connections: The target's ``ConnectionPool``.
@@ -120,9 +122,10 @@
         answered_send_ms: When the latest request that it answered was sent.
     """
 
-    def __init__(self, *, clock, listing, signals):
+    def __init__(self, *, clock, listing, signals, permits):
         self.listing = listing
         self.signals = signals
+        self._permits = permits
         self._incarnation = f"{listing.name}/{listing.born_ms}"
         self.connections = ConnectionPool(clock=clock, address=listing.address)
         self._clock = clock
@@ -150,7 +153,8 @@
         return max(1.0, self.rank_notice.pace) if self.rank_notice else 1.0
 
     def acquire_slot(self):
-        """Count one request more in flight."""
+        """Count one request more in flight, which uses a permit."""
+        self._permits.use(self.incarnation)
         self.in_flight_count += 1
         self._record_slot_change(1)
 
@@ -199,6 +203,11 @@
 
     def is_usable(self, *, now_ms):
         """Return whether the target can get a request now."""
+        may_send = self._permits.may_send(self.incarnation)
+        return may_send and self.is_usable_with_permit(now_ms=now_ms)
+
+    def is_usable_with_permit(self, *, now_ms):
+        """Return whether nothing but its limit keeps a request from the target."""
         if now_ms < self.avoid_until_ms or not self.accepts_requests(now_ms=now_ms):
             return False
         return not self.is_stalled(now_ms)
@@ -334,6 +343,7 @@
         connection_limits: How many connections a target accepts from all gateways
             together, by service.
         signals: The ``TargetSignals`` of all targets, also of those no longer listed.
+        permits: The ``Permits`` for targets that have named a limit.
     """
 
     def __init__(self, *, clock):
@@ -345,6 +355,8 @@
         self.grouped_services = frozenset()
         self.connection_limits = {}
         self.signals = TargetSignals()
+        self.permits = Permits(clock=clock)
+        self.permits.listeners.append(self.notify_listeners)
         self._paces = {}
         self._group_positions = {}
         self._stalled_groups = {}
@@ -547,7 +559,10 @@
             if target is not None:
                 target.connections.close()
             self._targets[name] = TrackedTarget(
-                clock=self._clock, listing=listing, signals=self.signals
+                clock=self._clock,
+                listing=listing,
+                signals=self.signals,
+                permits=self.permits,
             )
             details = {"target": name, "service": listing.service}
             log.info("target listed", extra=details)
--- a/src/waxwinghold/_policy/weighed.py
+++ b/src/waxwinghold/_policy/weighed.py
@@ -11,11 +11,11 @@
   only as far as it saves time.
 """
 
-import hashlib
 import heapq
 import math
 from collections import OrderedDict
 
+from .._rendezvous import rendezvous_weight
 from .choice import (
     DEFAULT_SERVICE_TIME_MS,
     ChoicePolicy,
@@ -247,8 +247,3 @@
     """Return the number of reported requests that came from other entries."""
     reported = reported_count(candidate.report)
     return max(0, reported - candidate.in_flight_at_report_count)
-
-
-def rendezvous_weight(key, name):
-    """Return the rendezvous weight of ``name`` for ``key``; the highest one wins."""
-    return hashlib.blake2b(f"{key} {name}".encode(), digest_size=8).digest()
--- a/src/waxwinghold/platform/codec.py
+++ b/src/waxwinghold/platform/codec.py
@@ -2,6 +2,7 @@
 
 import logbook
 
+from .._decisions.request_limits import read_limit
 from .._errors import BadRequestError
 from .._gateway.codec import HOP_HEADERS, AnswerMetadata, CallerRequest, MessageCodec
 
@@ -22,6 +23,7 @@
 SHARED_PARTS_LIMIT_COUNT = 16  # Callers send two or three.
 LEAVING = b"server-leaving"
 RETRY_AFTER = b"retry-after"
+LIMIT = b"server-limit"
 MISDIRECTED = 421
 UNAVAILABLE = 503
 # Never passed on from the caller: the gateway sets these headers itself, except the
@@ -74,6 +76,7 @@
         if (head.get(LEAVING) or "").strip() not in ("", "0", "1"):
             self._record_malformed(LEAVING, head)
         is_rejected = head.status == MISDIRECTED or head.get(NOT_EXECUTED) is not None
+        limit_per_second, has_unreadable_limit = self._limit(head)
         return AnswerMetadata(
             request_id=head.get(REQUEST_ID),
             executed=not is_rejected,
@@ -81,8 +84,25 @@
             culprit=head.get(CULPRIT) or "",
             leaving=announces_leaving(head),
             pause_ms=self._pause_ms(head),
+            limit_per_second=limit_per_second,
+            has_unreadable_limit=has_unreadable_limit,
         )
 
+    def _limit(self, head):
+        """Return the requests per second that a worker takes, and if it is unreadable.
+
+        Returns:
+            ``None`` in place of the number if there is none.
+        """
+        text = head.get(LIMIT)
+        if text is None:
+            return None, False
+        try:
+            return read_limit(text), False
+        except ValueError:
+            self._record_malformed(LIMIT, head)
+            return None, True
+
     def _pause_ms(self, head):
         """Return the pause that a worker asks for with a 503 in ms, or ``None``."""
         text = head.get(RETRY_AFTER)
