Keep the limit that a target names at its agent too

In the product's own interface a target got as many calls as without a limit: its agent read no such header.

All entries send through the agent, so that it issues the permits by itself, with the same decisions as gateways (RequestLimits, PermitIssuer): Waxwing-Limit on any answer. Over the limit it rejects the call as target_limited, not run, with the time until the next permit; the entry pauses the target for so long and tries another one. If all are limited the caller gets targets_paused at once, with the shortest of these times.

The two new tests of tests.test_path_signals end with an error on the code before, as an agent knows of no limit; the fuzz tests of the headers count unreadable limits.

--- a/src/waxwinghold/_agent/announcements.py
+++ b/src/waxwinghold/_agent/announcements.py
@@ -8,13 +8,16 @@
 import aiohttp
 import logbook
 
+from .._decisions.crash_suspects import shows_run
+from .._decisions.request_limits import PermitIssuer, RequestLimits, read_limit
 from .._decisions.target_signals import TargetSignals
-from .._errors import DrainingError, TargetPausedError
+from .._errors import DrainingError, TargetLimitedError, TargetPausedError
 
 log = logbook.Logger("agent")
 
 LEAVING_HEADER = "Waxwing-Leaving"
 PAUSE_HEADER = "Waxwing-Pause-Ms"
+LIMIT_HEADER = "Waxwing-Limit"
 INCARNATION_HEADER = "Waxwing-Incarnation"
 INCARNATION_LIMIT_LENGTH = 64
 UNAVAILABLE = 503
@@ -37,6 +40,8 @@
         self._metrics = metrics
         self._on_change = on_change
         self._signals = TargetSignals()
+        self._limits = RequestLimits()
+        self._permit_issuer = PermitIssuer()
         self.incarnation = ""
 
     @property
@@ -51,6 +56,26 @@
             self.incarnation, now_ms=self._clock.now_ms()
         )
 
+    @property
+    def limit_per_second(self):
+        """The requests per second that the target takes; ``None`` for no limit."""
+        return self._limits.per_second(self.incarnation, now_ms=self._clock.now_ms())
+
+    def take_permit(self):
+        """Use up one of the requests that the target's limit allows.
+
+        Raises:
+            TargetLimitedError: The limit allows none now.
+        """
+        per_second = self.limit_per_second
+        if per_second is None:
+            return
+        wait_ms = self._permit_issuer.issue(
+            self.incarnation, per_second=per_second, now_ms=self._clock.now_ms()
+        )
+        if wait_ms:
+            raise TargetLimitedError(retry_after_ms=math.ceil(wait_ms))
+
     def check(self):
         """Check that the target may get a request now.
 
@@ -91,9 +116,26 @@
             log.info("target asked for a pause", extra=details)
         elif status == UNAVAILABLE and PAUSE_HEADER in headers:
             self._record_malformed(PAUSE_HEADER, headers[PAUSE_HEADER])
+        self._record_limit(status, headers)
         if is_changed:
             self._on_change()
 
+    def _record_limit(self, status, headers):
+        text = headers.get(LIMIT_HEADER)
+        if text is None and not shows_run(status):
+            return
+        try:
+            per_second = None if text is None else read_limit(text)
+        except ValueError:
+            self._record_malformed(LIMIT_HEADER, text)
+            return
+        is_changed = self._limits.record(
+            self.incarnation, per_second=per_second, now_ms=self._clock.now_ms()
+        )
+        if is_changed:
+            details = {"incarnation": self.incarnation, "per_second": per_second}
+            log.info("target changed its limit", extra=details)
+
     def _record_malformed(self, name, value):
         self._metrics.count("malformed_signals")
         details = {"header": name, "value": value[:40]}
--- a/src/waxwinghold/_agent/handler.py
+++ b/src/waxwinghold/_agent/handler.py
@@ -174,6 +174,7 @@
             raise NoTargetError(service=submit.service, version=submit.version)
         if self._clock.wall_ms() >= submit.deadline_at_ms:
             raise DeadlineError("the deadline passed on the way to the target")
+        self._process.announcements.take_permit()
 
     def _enqueue(self, work):
         submit = work.submit
--- a/src/waxwinghold/_agent/process.py
+++ b/src/waxwinghold/_agent/process.py
@@ -39,6 +39,10 @@
         )
         self.metrics.gauge("target_leaving", lambda: self.announcements.is_leaving)
         self.metrics.gauge("pause_left_ms", lambda: self.announcements.pause_left_ms)
+        self.metrics.gauge(
+            "target_limit_per_second",
+            lambda: self.announcements.limit_per_second or 0.0,
+        )
         self.client = None
         self.monitor = None
         self.runner = None
--- a/src/waxwinghold/_entry/attempts.py
+++ b/src/waxwinghold/_entry/attempts.py
@@ -8,6 +8,7 @@
     DrainingError,
     KeyOwnerLostError,
     RequestError,
+    TargetLimitedError,
     TargetPausedError,
 )
 from .._keys import RequestToken
@@ -150,7 +151,7 @@
         raise error
 
     def _record_rejection(self, error):
-        if error.code == TargetPausedError.code:
+        if error.code in (TargetPausedError.code, TargetLimitedError.code):
             self.target.record_pause(error.retry_after_ms or 0.0)
         elif error.code == DrainingError.code:
             self.target.link.send_heartbeat()  # Its answer says what leaves.
--- a/src/waxwinghold/_entry/outcomes.py
+++ b/src/waxwinghold/_entry/outcomes.py
@@ -10,6 +10,7 @@
         "overloaded",
         "target_crashed",
         "target_failed",
+        "target_limited",
         "target_paused",
         "target_refused",
         "target_unreachable",
--- a/src/waxwinghold/_errors.py
+++ b/src/waxwinghold/_errors.py
@@ -260,6 +260,18 @@
         super().__init__("the target asked for a pause", retry_after_ms=retry_after_ms)
 
 
+class TargetLimitedError(RequestError):
+    """The target has reached the limit that it named, and has not run the request."""
+
+    code = "target_limited"
+    status = 503
+
+    def __init__(self, *, retry_after_ms):
+        super().__init__(
+            "the target has reached its limit", retry_after_ms=retry_after_ms
+        )
+
+
 class PausedTargetsError(RequestError):
     """All targets that could run the request have asked for a pause."""
 
--- a/src/waxwinghold_standins/_faults.py
+++ b/src/waxwinghold_standins/_faults.py
@@ -29,6 +29,7 @@
         leaving: Every answer announces that the target leaves.
         pause_ms: New requests are rejected with 503 and do not run; the answer asks
             for a pause of so many milliseconds.
+        limit_per_second: Every answer names this limit on requests.
         expert_seed: Replaces the seed that determines an engine's popular experts.
     """
 
@@ -43,6 +44,7 @@
     expert_seed: int | None = None
     leaving: bool = False
     pause_ms: float | None = None
+    limit_per_second: float | None = None
 
 
 def changed_faults(faults, changes):
--- a/src/waxwinghold_standins/_http.py
+++ b/src/waxwinghold_standins/_http.py
@@ -142,6 +142,8 @@
         response.headers["Waxwing-Incarnation"] = self.incarnation
         if faults.leaving:
             response.headers["Waxwing-Leaving"] = "1"
+        if faults.limit_per_second is not None:
+            response.headers["Waxwing-Limit"] = str(faults.limit_per_second)
 
     def _connections(self):
         if self._runner is None or self._runner.server is None:
--- a/tests/test_path_signals.py
+++ b/tests/test_path_signals.py
@@ -2,12 +2,15 @@
 
 import asyncio
 
+from waxwinghold._decisions.request_limits import BURST_MIN_COUNT
+
 from .support.case import FleetCase
 from .support.fleet import THREE_WORKERS, TWO_ENGINES, TWO_WORKERS, until
 
 # Health checks tell an agent nothing within a test: only answers to requests do.
 NO_HEALTH_CHECKS = {"health_interval_ms": 60_000}
 PAUSE_MS = 1500.0
+LIMIT_PER_SECOND = 1.0
 
 
 class SignalsCase(FleetCase):
@@ -26,6 +29,50 @@
         ]
 
 
+class LimitedTargetTests(SignalsCase):
+    def limit(self, fleet, *names):
+        for name in names:
+            fleet.targets[name].set_faults(limit_per_second=LIMIT_PER_SECOND)
+
+    async def test_calls_over_a_target_s_limit_go_to_the_other_one(self):
+        # The target got half of all calls, whatever limit it named.
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        caller = fleet.caller()
+        self.limit(fleet, "booking-a")
+        await until(
+            lambda: self.agent(fleet, "booking-a").announcements.limit_per_second,
+            limit_s=3,
+            what="the agent to hear of the limit",
+        )
+        began_s = asyncio.get_running_loop().time()
+        runs_count = self.runs_count(fleet, "booking-a")
+        for outcome in await self.call_many(caller, count=40):
+            self.assert_answered(outcome)
+        elapsed_s = asyncio.get_running_loop().time() - began_s
+        runs_count = self.runs_count(fleet, "booking-a") - runs_count
+        self.assertLessEqual(runs_count, LIMIT_PER_SECOND * elapsed_s + BURST_MIN_COUNT)
+
+    async def test_calls_over_all_limits_are_rejected_at_once_and_have_not_run(self):
+        fleet = await self.start_fleet(targets=TWO_WORKERS)
+        caller = fleet.caller()
+        self.limit(fleet, "booking-a", "booking-b")
+        for name in TWO_WORKERS:
+            await until(
+                lambda name=name: self.agent(
+                    fleet, name
+                ).announcements.limit_per_second,
+                limit_s=3,
+                what="the agents to hear of the limits",
+            )
+        outcomes = await self.call_many(caller, count=20)
+        rejected = [outcome for outcome in outcomes if not outcome.ok]
+        self.assertGreater(len(rejected), 0)
+        for outcome in rejected:
+            self.assertEqual("not_run", outcome.ran)
+            self.assertLess(outcome.elapsed_ms, 500)
+            self.assertGreater(float(outcome.header("Retry-After")), 0)
+
+
 class LeavingTargetTests(SignalsCase):
     async def test_a_target_that_announces_it_in_an_answer_gets_no_further_call(self):
         fleet = await self.start_fleet(
--- a/tests/test_signal_headers.py
+++ b/tests/test_signal_headers.py
@@ -20,7 +20,13 @@
 from .support.gateway import FakeClock
 from .test_platform_store import WatchCase
 
-NAMES = (b"server-leaving", b"retry-after", b"not-executed", b"store-era")
+NAMES = (
+    b"server-leaving",
+    b"server-limit",
+    b"retry-after",
+    b"not-executed",
+    b"store-era",
+)
 NONSENSE = (b"", b"1", b"0", b"-1", b"nan", b"inf", b"1e999", b"9" * 400, b"\xff\xfe")
 VALUES = st.sampled_from(NONSENSE) | st.binary(max_size=60)
 HEADERS = st.lists(st.tuples(st.sampled_from(NAMES), VALUES), max_size=6)
@@ -33,7 +39,12 @@
     deadline=None,
     suppress_health_check=[HealthCheck.too_slow],
 )
-OWN_NAMES = ("Waxwing-Leaving", "Waxwing-Pause-Ms", "Waxwing-Incarnation")
+OWN_NAMES = (
+    "Waxwing-Leaving",
+    "Waxwing-Pause-Ms",
+    "Waxwing-Limit",
+    "Waxwing-Incarnation",
+)
 OWN_VALUES = st.sampled_from([value.decode("latin-1") for value in NONSENSE]) | st.text(
     max_size=100
 )
@@ -55,13 +66,19 @@
         codec = PlatformCodec()
         head = AnswerHead(status=status, headers=tuple(headers))
         metadata = codec.read_answer(head)
-        self.assertLessEqual(codec.malformed_count, 2)
+        self.assertLessEqual(codec.malformed_count, 3)
         first = dict(reversed(headers))
         leaving = first.get(b"server-leaving", b"").decode("latin-1").strip()
         self.assertEqual(metadata.leaving, leaving == "1")
         asks = status == 503 and b"retry-after" in first
         malformed_count = leaving not in ("", "0", "1")
         malformed_count += asks and metadata.pause_ms is None
+        has_limit = b"server-limit" in first
+        is_named = metadata.limit_per_second is not None
+        self.assertEqual(metadata.has_unreadable_limit, has_limit and not is_named)
+        malformed_count += metadata.has_unreadable_limit
+        if is_named:
+            self.assertTrue(0 <= metadata.limit_per_second < float("inf"))
         self.assertEqual(codec.malformed_count, malformed_count)
         if not asks:
             self.assertIsNone(metadata.pause_ms)
@@ -84,6 +101,13 @@
         self.assertLess(era, 100_000)
 
 
+def _is_limit(text):
+    try:
+        return 0 <= float(text) < float("inf")
+    except ValueError:
+        return False
+
+
 class OwnHeaderTests(FuzzCase):
     @ANY_SPEED
     @given(STATUSES, st.dictionaries(st.sampled_from(OWN_NAMES), OWN_VALUES))
@@ -104,6 +128,10 @@
         asks = status == 503 and "Waxwing-Pause-Ms" in headers
         malformed_count = leaving not in ("", "0", "1")
         malformed_count += asks and "paused_targets" not in counts
+        if "Waxwing-Limit" in headers:
+            malformed_count += not _is_limit(headers["Waxwing-Limit"])
+        else:
+            self.assertIsNone(announcements.limit_per_second)
         self.assertEqual(counts.get("malformed_signals", 0), malformed_count)
 
 
