Do not let requests wait for permits of a silent gateway

While the gateway that issues a target's permits is being missed, requests waited until their time in the queue ended. A second question without an answer now counts as a denial for as long as questions are apart, so that what can go nowhere else is rejected at once. Queues that are empty no longer look at every target's limit.

test_a_silent_issuer_does_not_make_requests_wait failed before.

--- a/src/waxwinghold/_decisions/request_limits.py
+++ b/src/waxwinghold/_decisions/request_limits.py
@@ -218,15 +218,18 @@
         self._ends_ms = {}
         self._denied_until_ms = {}
         self._ask_from_ms = {}
+        self._unanswered = set()
 
     def add(self, target, *, now_ms):
         """Add a permit for one request to a target."""
         self._ask_from_ms.pop(target, None)
+        self._unanswered.discard(target)
         self._denied_until_ms.pop(target, None)
         self._ends_ms.setdefault(target, deque()).append(now_ms + PERMIT_LIFETIME_MS)
 
     def deny(self, target, *, wait_ms, now_ms):
         """Record that there is no permit for a target for ``wait_ms``."""
+        self._unanswered.discard(target)
         self._denied_until_ms[target] = now_ms + wait_ms
         self._ask_from_ms[target] = now_ms + min(wait_ms, DENIED_ASK_INTERVAL_MS)
 
@@ -253,18 +256,23 @@
             targets: Targets with limits that a request could go to.
             rng: Chooses among them, so that processes do not all ask for the same.
         """
-        held_count = sum(len(self._ends_ms[target]) for target in list(self._ends_ms))
-        count = min(ASKED_COUNT, HELD_LIMIT_COUNT - held_count)
         askable = [target for target in targets if self._may_ask(target, now_ms)]
+        held_count = sum(map(len, self._ends_ms.values()))
+        count = min(ASKED_COUNT, HELD_LIMIT_COUNT - held_count)
         wanted = rng.sample(askable, max(0, min(count, len(askable))))
         for target in wanted:
             self._ask_from_ms[target] = now_ms + ASK_INTERVAL_MS
+            if target in self._unanswered:
+                # Its issuer may be gone; requests should not wait for that to show.
+                self._denied_until_ms[target] = now_ms + ASK_INTERVAL_MS
+            self._unanswered.add(target)
         return wanted
 
     def forget_ended(self, *, now_ms):
         """Forget what is over, also of targets that are gone."""
         for target in list(self._ends_ms):
             self._drop_ended(target, now_ms)
+        self._unanswered.intersection_update(self._ask_from_ms)
         self._denied_until_ms = {
             target: until_ms
             for target, until_ms in self._denied_until_ms.items()
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -159,7 +159,7 @@
     def _reject_held_up(self, now_ms):
         """Reject the queued requests that no target takes now, at its own word."""
         pool = self._target_pool
-        if not (len(pool.signals) or len(pool.permits.limits)):
+        if not self._line or not (len(pool.signals) or len(pool.permits.limits)):
             return
         targets = pool.of_service(self.service)
         held_up = {
--- a/tests/test_decisions_request_limits.py
+++ b/tests/test_decisions_request_limits.py
@@ -6,6 +6,7 @@
 import unittest
 
 from waxwinghold._decisions.request_limits import (
+    ASK_INTERVAL_MS,
     LIFETIME_MS,
     PER_SECOND_LIMIT,
     TARGETS_LIMIT_COUNT,
@@ -416,6 +417,15 @@
         self.permits.use(self.target)
         self.assertFalse(self.answer("10.0.0.2", echo=nonce))
 
+    def test_a_silent_issuer_does_not_make_requests_wait(self):
+        self.assertEqual(self.permits.wait_ms(self.target), 0.0)
+        self.clock.time_ms += ASK_INTERVAL_MS
+        self.permits.want([self.target])
+        self.assertEqual(len(self.sent), 2)
+        self.assertGreater(self.permits.wait_ms(self.target), 0.0)
+        self.assertTrue(self.answer("10.0.0.2", echo=self.sent[1][1].nonce))
+        self.assertEqual(self.permits.wait_ms(self.target), 0.0)
+
     def test_a_question_of_no_gateway_gets_no_answer(self):
         ask = AskPermitNotice(format=5, nonce=1, target="x/1", per_second=1.0)
         self.permits.on_ask("10.0.0.9", ask)
