Keep the evidence against a blocked request while other targets crash

A request that was blocked came through again after 32 further targets had crashed under other requests, and could end three more.

Cause: of more than 32 crashed targets those that block nothing are forgotten first, but only parts of prompts counted as blocked, not whole requests.

test_a_blocked_request_stays_blocked_while_many_other_targets_crash failed before.

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -452,13 +452,14 @@
 
     def _drop_surplus(self):
         """Remove the oldest crashes, first those that block nothing."""
-        evidence_counts = dict.fromkeys(self._blocked_parts, 0)
+        blocked = self._blocked_parts | self._blocked_contents
+        evidence_counts = dict.fromkeys(blocked, 0)
         kept = set()
         for target, crash in reversed(self._crashes.items()):
-            parts = {part for lost in crash.lost.values() for part in lost.parts}
-            for part in parts & self._blocked_parts:
-                evidence_counts[part] += 1
-                if evidence_counts[part] <= EVIDENCE_LIMIT_COUNT:
+            keys = {part for lost in crash.lost.values() for part in lost.parts}
+            for key in (keys | crash.lost.keys()) & blocked:
+                evidence_counts[key] += 1
+                if evidence_counts[key] <= EVIDENCE_LIMIT_COUNT:
                     kept.add(target)
         surplus_count = len(self._crashes) - TARGETS_LIMIT_COUNT
         targets = sorted(self._crashes, key=kept.__contains__)
--- a/tests/test_decisions_crash_suspects.py
+++ b/tests/test_decisions_crash_suspects.py
@@ -230,6 +230,15 @@
             self.crash(content(call="same"), target=f"t{number}")
         self.assertTrue(self.is_blocked(content(call="same")))
 
+    def test_a_blocked_request_stays_blocked_while_many_other_targets_crash(self):
+        for number in range(CRASHES_LIMIT_COUNT):
+            self.crash(content(call="same"), target=f"t{number}")
+        for number in range(2 * TARGETS_LIMIT_COUNT):
+            beside = content(call=str(number))
+            self.crash(beside, target=f"n{number}", at_ms=self.now_ms + number)
+        self.assertTrue(self.is_blocked(content(call="same")))
+        self.assertLessEqual(len(self.suspects.lost_requests()), TARGETS_LIMIT_COUNT)
+
     def test_a_request_counts_beside_others_that_the_targets_had_begun(self):
         for number in range(CRASHES_LIMIT_COUNT):
             self.crash(content("a", call=f"c{number}"), target=f"t{number}")
