Test limits that are unreadable, end, or belong to an earlier start of a target

On a gateway with real connections: nonsense and errors leave the limit as it was, a run without it ends it, a rejection may name one, a limit of 0 rejects with a time to come back, and a successor under the same name takes requests at once. No fault found.

--- a/tests/test_gateway_limits.py
+++ b/tests/test_gateway_limits.py
@@ -3,6 +3,7 @@
 import asyncio
 import itertools
 
+from .support.gateway import GatewayFixture
 from .support.gateway_fleet import GatewayFleet
 from .support.loop_case import LoopCase
 
@@ -71,3 +72,56 @@
         outcomes = await self.send_steadily(fleet)
         self.check_windows(fleet.workers[0])
         self.assertEqual({status for status, _, _ in outcomes}, {200})
+
+
+class NamedLimitTests(LoopCase):
+    """One gateway and one worker that names a limit in some of its answers."""
+
+    async def open_gateway(self):
+        fixture = GatewayFixture(behaviours=["whole"])
+        return await self.enterAsyncContext(fixture.open())
+
+    async def limit_after(self, fixture, *, text, behaviour="whole"):
+        """Return the limit in force after an answer that names ``text``."""
+        worker = fixture.workers[0]
+        worker.limit_text, worker.behaviour = text, behaviour
+        runs_count = len(worker.requests)
+        while len(worker.requests) == runs_count:
+            await fixture.call(PATH)
+            await asyncio.sleep(0.02)
+        gateway = fixture.gateway
+        (target,) = gateway.target_pool
+        return gateway.target_pool.permits.limits.per_second(
+            target.incarnation, now_ms=gateway.clock.now_ms()
+        )
+
+    async def test_a_limit_holds_until_a_run_without_one(self):
+        fixture = await self.open_gateway()
+        self.assertIsNone(await self.limit_after(fixture, text=""))
+        self.assertEqual(await self.limit_after(fixture, text="20"), 20.0)
+        self.assertEqual(await self.limit_after(fixture, text="12.5"), 12.5)
+        for nonsense in ("soon", "-3", "nan", "1e999", "1,5"):
+            with self.subTest(nonsense=nonsense):
+                self.assertEqual(await self.limit_after(fixture, text=nonsense), 12.5)
+        self.assertEqual(fixture.gateway.codec.malformed_count, 5)
+        failing = await self.limit_after(fixture, text="", behaviour="failing")
+        self.assertEqual(failing, 12.5)
+        self.assertIsNone(await self.limit_after(fixture, text=""))
+
+    async def test_a_rejection_may_name_a_limit_too(self):
+        fixture = await self.open_gateway()
+        limit = await self.limit_after(fixture, text="15", behaviour="shed")
+        self.assertEqual(limit, 15.0)
+
+    async def test_a_successor_under_the_same_name_has_no_limit(self):
+        fixture = await self.open_gateway()
+        self.assertEqual(await self.limit_after(fixture, text="0"), 0.0)
+        status, headers, _ = await fixture.call(PATH)
+        self.assertEqual(status, 503)
+        self.assertGreater(float(headers["Retry-After"]), 0.0)
+        worker = fixture.workers[0]
+        worker.limit_text = ""
+        fixture.register_worker(worker, born=1_700_000_000_001)
+        async with asyncio.timeout(5.0):
+            while (await fixture.call(PATH))[0] != 200:
+                await asyncio.sleep(0.02)
