Count a kept connection as idle after a request with a body

The gateway had read it and sent it on, and closed the connection under it.

Cause: when the body of a request has been read to its end, aiohttp goes on parsing by calling data_received with no data. CallerConnection took that for the first byte of the next request.

Empty calls are passed on without a record. The test sends both kinds of bodies; it failed before: due_count was 1 after the answer.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -84,6 +84,10 @@
         super().connection_lost(exc)
 
     def data_received(self, data):
+        if not data:
+            # ``aiohttp`` goes on with what it has read already.
+            super().data_received(data)
+            return
         if self.requested_ms is None:
             self.requested_ms = self._clock.now_ms()
             self._owner.record_busy(self)
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -563,6 +563,33 @@
         self.assertEqual(runs_count, 1)
         self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
 
+    async def test_a_kept_connection_is_idle_after_a_request_with_a_body(self):
+        # It counted as waiting for the rest of a request: it was closed after the time
+        # for a header, also under the next request, and held up every planned stop.
+        fixture = await self.fixture("whole")
+        connections = fixture.gateway._caller_server._connections
+        head = f"POST /safe/a HTTP/1.1\r\nHost: {HOST}\r\nCredential: {KEY}\r\n"
+        bodies = (
+            b"Content-Length: 5\r\n\r\nhello",
+            b"Transfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n",
+        )
+        for body in bodies:
+            with self.subTest(body=body):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", fixture.port
+                )
+                writer.write(head.encode() + body)
+                async with asyncio.timeout(2):
+                    await reader.readuntil(b"the whole body of w0")
+                    while any(connection.is_served for connection in connections.open):
+                        await asyncio.sleep(0.01)
+                self.assertEqual(connections.due_count, 0)
+                connections.close_expired(CallerLimits(header_timeout_ms=-1.0))
+                connections.close_idle()
+                async with asyncio.timeout(2):
+                    self.assertEqual(await reader.read(), b"")
+                writer.close()
+
     async def test_an_idle_connection_is_closed_when_the_gateway_stops(self):
         fixture = await self.fixture("whole")
         reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
