Answer a request that was read, though its head took long to arrive

The request was sent on, and its caller got nothing.

A request that was read is no longer too slow. test_a_request_whose_head_was_read_late_is_answered failed before (it reached no worker and the connection was closed).

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -49,6 +49,7 @@
         idle_since_ms: When the last answer ended, or the connection was opened.
         requested_ms: When the first byte after that arrived; ``None`` if none did.
         is_served: Whether a request is being handled.
+        is_read: Whether the head of a request was read that is not handled yet.
     """
 
     __slots__ = (
@@ -60,6 +61,7 @@
         "_owner",
         "idle_since_ms",
         "requested_ms",
+        "is_read",
         "is_served",
     )
 
@@ -69,6 +71,7 @@
         self._owner = owner
         self.idle_since_ms = clock.now_ms()
         self.requested_ms = None
+        self.is_read = False
         self.is_served = False
         self._content = None
         self._head_bytes = 0
@@ -84,21 +87,14 @@
         super().connection_lost(exc)
 
     def data_received(self, data):
-        if not data:
-            # ``aiohttp`` goes on with what it has read already.
-            super().data_received(data)
-            return
-        if self.requested_ms is None:
-            self.requested_ms = self._clock.now_ms()
-            self._owner.record_busy(self)
-        elif self._content is not None and self._content.is_eof():
-            # The request was read: this belongs to the next one.
-            if self._next_requested_ms is None:
-                self._next_requested_ms = self._clock.now_ms()
+        # ``aiohttp`` goes on with what it has read already by a call without data.
+        if data:
+            self._record_arrival()
         is_head = self._last_body is None or self._last_body.is_eof()
         heads_count = self._request_count
         super().data_received(data)
         if self._request_count > heads_count:
+            self.is_read = True
             self._last_body = self._messages[-1][1]
             self._head_bytes = 0
         elif is_head:
@@ -106,6 +102,15 @@
             if self._head_bytes > UNFINISHED_HEAD_LIMIT_BYTES:
                 self._refuse_head()
 
+    def _record_arrival(self):
+        if self.requested_ms is None:
+            self.requested_ms = self._clock.now_ms()
+            self._owner.record_busy(self)
+        elif self._content is not None and self._content.is_eof():
+            # The request was read: this belongs to the next one.
+            if self._next_requested_ms is None:
+                self._next_requested_ms = self._clock.now_ms()
+
     def _refuse_head(self):
         if self.transport is None or self.transport.is_closing():
             return
@@ -121,6 +126,7 @@
 
     def begin_request(self, request):
         """Record that the ``aiohttp`` request is being handled."""
+        self.is_read = bool(self._messages)
         self.is_served = True
         self._content = request.content
         if self.requested_ms is None:
@@ -146,8 +152,9 @@
         now_ms = self._clock.now_ms()
         if self.requested_ms is None:
             return now_ms - self.idle_since_ms > limits.idle_timeout_ms
-        waited_ms = now_ms - self.requested_ms
-        return not self.is_served and waited_ms > limits.header_timeout_ms
+        if self.is_served or self.is_read:
+            return False
+        return now_ms - self.requested_ms > limits.header_timeout_ms
 
     def close_transport(self):
         """Close the connection once what was written has been sent.
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -563,6 +563,16 @@
         self.assertEqual(runs_count, 1)
         self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
 
+    async def test_a_request_whose_head_was_read_late_is_answered(self):
+        # The sweep closed the connection although the request was sent on.
+        def close(fixture):
+            connections = fixture.gateway._caller_server._connections
+            connections.close_expired(CallerLimits(header_timeout_ms=-1.0))
+
+        runs_count, data = await self._request_while(close)
+        self.assertEqual(runs_count, 1)
+        self.assertTrue(data.startswith(b"HTTP/1.1 200"), data)
+
     async def test_a_kept_connection_is_idle_after_a_request_with_a_body(self):
         # It counted as waiting for the rest of a request: it was closed after the time
         # for a header, also under the next request, and held up every planned stop.
