--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -18,7 +18,7 @@
 )
 from .events import EventSplitter, EventTooLongError
 from .model import RequestKind
-from .targets import ReportedLoad
+from .tracked_target import ReportedLoad
 
 log = logbook.Logger("sending")
 
--- a/tests/test_control_budgets.py
+++ b/tests/test_control_budgets.py
@@ -13,7 +13,8 @@
 from waxwinghold._gateway.notices import FORMAT, RankNotice, decoder
 from waxwinghold._gateway.peers import Peers
 from waxwinghold._gateway.settings import GatewaySettings
-from waxwinghold._gateway.targets import RANK_COUNTS_AGE_LIMIT_MS, TargetPool
+from waxwinghold._gateway.targets import TargetPool
+from waxwinghold._gateway.tracked_target import RANK_COUNTS_AGE_LIMIT_MS
 from waxwinghold._ranks.model import RankReport
 from waxwinghold._ranks.notice_sender import REPORT_INTERVAL_MS, NoticeSender
 from waxwinghold._ranks.settings import RankSettings
