Try another target beside a stream that sends bytes but no events

A target that had stalled in the middle of a stream and sent a byte now and then kept its stream until the deadline: each byte restarted the wait for the next one, so the gateway never tried another target beside it, and the caller saw a stream that stood still. The wait now counts from the last complete event, or from the head before the first one. Time in which the caller reads slowly does not count.

--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -134,6 +134,8 @@
         self._answer = answer
         self._admission_queue = gateway.admission_queue(admitted.service)
         self._sent_ms = 0.0
+        # When the target last completed an event, or the head before the first one.
+        self._progressed_ms = 0.0
         self._progress = progress
         self._has_another = has_another
         self._has_slot_elsewhere = has_slot_elsewhere
@@ -161,10 +163,11 @@
             # If the process was frozen until now, its configuration may be outdated.
             self._gateway.check_sendable(self._admitted)
             self.may_have_arrived = True
-            self._sent_ms = self._clock.now_ms()
+            self._sent_ms = self._progressed_ms = self._clock.now_ms()
             connection.send(self._request_bytes(target))
             head, metadata = await self._head(target, connection)
             self.has_head = True
+            self._progressed_ms = self._clock.now_ms()
             if not metadata.executed:
                 await self._within(connection.skip_body(), self._rejection_limit_ms())
                 raise NotExecutedError(status=head.status, culprit=metadata.culprit)
@@ -240,6 +243,9 @@
             except EventTooLongError as error:
                 raise MalformedAnswerError(str(error)) from error
             await self._pass_events(head, events)
+            if events:
+                # Time spent on a caller that reads slowly is no silence of the target.
+                self._progressed_ms = self._clock.now_ms()
             self._check_pace(target)
         if splitter.pending_bytes:
             raise MalformedAnswerError("the stream ended inside an event")
@@ -261,8 +267,14 @@
                 caller of a stream leaves of which the target sent no head.
         """
         if self._route.kind is RequestKind.STREAM:
+            # Bytes that complete no event are no progress: a stalled target may send
+            # one now and then.
             gap_ms = stream_gap_ms(self._route)
-            limits_ms = [SILENCE_SHARE * gap_ms, LAST_SILENCE_SHARE * gap_ms]
+            elapsed_ms = self._clock.now_ms() - self._progressed_ms
+            limits_ms = [
+                share * gap_ms - elapsed_ms
+                for share in (SILENCE_SHARE, LAST_SILENCE_SHARE)
+            ]
         else:
             end_ms = self._admitted.end_ms
             until_ms = self._sent_ms + FIRST_SEND_TIME_SHARE * (end_ms - self._sent_ms)
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -6,6 +6,7 @@
 from ._raw_http import RawServer, answer_bytes, reset_connection
 
 MS_PER_SECOND = 1000
+DRIBBLE_INTERVAL_S = 0.3
 SEAL_HEADER = "Server-Seal"
 
 
@@ -290,6 +291,15 @@
         await asyncio.sleep(3600)
         return False
 
+    async def _answer_stream_dribbled(self, request, writer):
+        """Send two events, then one byte every 300 ms that never completes a third."""
+        await self._stream(request, writer, stop_after=2, end=False)
+        while not writer.is_closing():
+            await asyncio.sleep(DRIBBLE_INTERVAL_S)
+            writer.write(http_chunk(b":"))
+            await writer.drain()
+        return False
+
     async def _answer_stream_paused(self, request, writer):
         """Send a whole stream with a pause of ``pause_s`` after two events."""
         await self._stream(request, writer, stop_after=2, end=False)
--- a/tests/test_gateway_silent_targets.py
+++ b/tests/test_gateway_silent_targets.py
@@ -119,6 +119,16 @@
         self.assertEqual(len(fixture.workers[1].runs), 1)
         self.assert_nothing_in_flight(fixture)
 
+    async def test_a_stream_that_sends_bytes_but_no_events_goes_on_at_the_other(self):
+        # Each byte restarted the wait for the next one, so that the stream stood still
+        # until its deadline and nothing was tried beside it.
+        fixture = await self.fixture("stream_dribbled", "stream")
+        async with asyncio.timeout(3.0):
+            outcome = await fixture.call("/stream/a", method="POST")
+        self.assert_whole(outcome)
+        self.assertEqual(len(fixture.workers[1].runs), 1)
+        self.assert_nothing_in_flight(fixture)
+
     async def test_a_stream_that_goes_on_first_wins_over_its_replacement(self):
         fixture = await self.fixture("stream_paused", "stream")
         fixture.workers[1].event_ms = 600.0
