Send no request to evacuated data centres

Change: the store adapter reads all of the operator's keys in the call that read the configuration, and applies their events, also those that another gateway passes on. `Evacuations` holds the set and decides what holds after the store came back from a copy: a write is recognised by its revision, so that one made before the first read of the new era counts at once. Targets of an evacuated data centre accept no requests, at choice and just before each send. Requests whose remaining targets are all evacuated are rejected at once as `targets_evacuated`, also those that wait. A gateway whose copy is outdated and whose own call failed asks another gateway of its data centre; before, the reader asked nobody while only its calls failed.

--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -13,6 +13,7 @@
     WaitingLine,
 )
 from .errors import (
+    EvacuatedTargetsError,
     LimitedTargetsError,
     NoFreeSlotError,
     NoTargetError,
@@ -84,6 +85,7 @@
         Raises:
             NoFreeSlotError: The request is rejected.
             NoTargetError: The service has no target outside ``tried``.
+            EvacuatedTargetsError: All targets outside ``tried`` are evacuated.
             PausedTargetsError: All targets outside ``tried`` asked for a pause.
             LimitedTargetsError: The same, or they have reached their limits.
         """
@@ -159,13 +161,16 @@
     def _reject_held_up(self, now_ms):
         """Reject the queued requests that no target takes now, at its own word."""
         pool = self._target_pool
-        if not self._line or not (len(pool.signals) or len(pool.permits.limits)):
+        has_reasons = (
+            len(pool.signals) or len(pool.permits.limits) or len(pool.evacuations)
+        )
+        if not self._line or not has_reasons:
             return
         targets = pool.of_service(self.service)
         held_up = {
             target.listing.name
             for target in targets
-            if self._wait_ms(target, now_ms=now_ms)
+            if target.is_evacuated or self._wait_ms(target, now_ms=now_ms)
         }
         if not held_up:
             return
@@ -173,7 +178,7 @@
             target.listing.name
             for target in targets
             if target.listing.name not in held_up
-            and not pool.signals.is_leaving(target.incarnation, now_ms=now_ms)
+            and not target.is_leaving(now_ms=now_ms)
         ]
         for slot in self._line.entries():
             if any(name not in slot.tried for name in others):
@@ -192,17 +197,31 @@
         )
 
     def _held_up_error(self, request, tried, now_ms, *, ahead_count):
-        """Return the error of a request whose targets all pause or are limited.
+        """Return the error of a request that no target takes now, or ``None``.
+
+        Its targets are evacuated, or they all pause or are limited.
 
         Args:
             ahead_count: Requests that wait for a slot already.
         """
         pool = self._target_pool
-        targets = [
+        untried = [
             target
             for target in pool.of_service(self.service)
             if target.listing.name not in tried
-            and not pool.signals.is_leaving(target.incarnation, now_ms=now_ms)
+        ]
+        remaining = [target for target in untried if not target.is_evacuated]
+        if len(remaining) < len(untried) and all(
+            target.is_leaving(now_ms=now_ms) for target in remaining
+        ):
+            return EvacuatedTargetsError(
+                f'the data centres of service "{self.service}" are evacuated',
+                retry_after_ms=self.retry_after_ms(end_ms=request.end_ms),
+            )
+        targets = [
+            target
+            for target in remaining
+            if not pool.signals.is_leaving(target.incarnation, now_ms=now_ms)
         ]
         wait_ms = min(
             (self._wait_ms(target, now_ms=now_ms) for target in targets), default=0.0
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -13,6 +13,7 @@
     AnswerLostError,
     BrokenStreamError,
     CrashingRequestError,
+    EvacuatedTargetsError,
     FailedAnswerError,
     LimitedTargetsError,
     NoFreeSlotError,
@@ -31,7 +32,13 @@
 log = logbook.Logger("attempts")
 
 # The errors of a request that gets no slot at any target.
-REJECTIONS = (NoFreeSlotError, NoTargetError, PausedTargetsError, LimitedTargetsError)
+REJECTIONS = (
+    NoFreeSlotError,
+    NoTargetError,
+    EvacuatedTargetsError,
+    PausedTargetsError,
+    LimitedTargetsError,
+)
 
 STALLED_TARGET_AVOID_MS = 1000.0  # A group that lost a rank stalls for seconds.
 
--- a/src/waxwinghold/_gateway/errors.py
+++ b/src/waxwinghold/_gateway/errors.py
@@ -155,6 +155,13 @@
     status = 503
 
 
+class EvacuatedTargetsError(RequestError):
+    """The operator evacuates the data centres of all targets of the service."""
+
+    code = "targets_evacuated"
+    status = 503
+
+
 class PausedTargetsError(RequestError):
     """All targets of the service have asked for a pause."""
 
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -84,6 +84,9 @@
         self.metrics.gauge(
             "targets_paused", lambda: self._targets_count("pause_left_ms")
         )
+        self.metrics.gauge(
+            "evacuated_data_centres", lambda: len(self.target_pool.evacuations)
+        )
         self.metrics.gauge(
             "targets_limited",
             lambda: self.target_pool.permits.limits.limited_count(
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -16,7 +16,7 @@
 
 
 class PublishedState:
-    """The configuration in force, the listed targets, and the age of both.
+    """The configuration in force, the listed targets, the evacuations, and their age.
 
     The age counts from the moment at which the call to the store was sent, because
     the answer may not contain changes that were made later.
@@ -50,6 +50,8 @@
         self._gone = OrderedDict()
         self._written_names = set()
         self._listed = {}
+        # Evacuated data centres that no listed target is in.
+        self._unlisted_evacuated = set()
         self.table = None
         self.lost_version = 0
         self.asked_ms = NEVER_MS
@@ -112,6 +114,54 @@
         if self.table is not None:
             self.lost_version = self.table.configuration.version
         self._written_names.clear()
+        self._target_pool.evacuations.begin_era(now_ms=self.restored_ms)
+
+    def replace_evacuations(self, listed):
+        """Replace the evacuated data centres with those that the store holds now.
+
+        Must be called before ``apply_targets``, so that no target of these data centres
+        gets requests in between.
+
+        Args:
+            listed: The revision of each evacuation's write, by data centre.
+        """
+        evacuations = self._target_pool.evacuations
+        changed = evacuations.replace(listed, now_ms=self._clock.now_ms())
+        self._apply_evacuations(*changed)
+
+    def record_evacuations(self, changes):
+        """Apply changes of evacuated data centres.
+
+        Args:
+            changes: The revision of the last write by data centre, or ``None`` where
+                the evacuation was deleted.
+        """
+        evacuations = self._target_pool.evacuations
+        changed = evacuations.record_changes(changes, now_ms=self._clock.now_ms())
+        self._apply_evacuations(*changed)
+        self._check_evacuated_names()
+
+    def _apply_evacuations(self, begun, ended):
+        for name in sorted(begun):
+            log.warn("evacuation of a data centre began", extra={"data_centre": name})
+        for name in sorted(ended):
+            log.info("evacuation of a data centre ended", extra={"data_centre": name})
+        if begun or ended:
+            self._target_pool.notify_listeners()
+
+    def _check_evacuated_names(self):
+        """Log evacuated data centres that no listed target is in, each once."""
+        evacuations = self._target_pool.evacuations
+        if not len(evacuations) and not self._unlisted_evacuated:
+            return
+        known = {target.data_centre for target in self._targets.values()}
+        unlisted = {name for name in evacuations if name not in known}
+        for name in sorted(unlisted - self._unlisted_evacuated):
+            log.warn(
+                "evacuated data centre has no listed target",
+                extra={"data_centre": name},
+            )
+        self._unlisted_evacuated = unlisted
 
     def record_written(self, name):
         """Record that the entry of a target was written or deleted in this era."""
@@ -144,10 +194,13 @@
         }
         self._record_gone(self._targets.keys() - kept.keys() - listed.keys())
         self._targets = kept | listed
+        self._check_evacuated_names()
         self._target_pool.replace(self._targets.values())
 
     def drop_missing(self):
-        """Remove missing targets whose grace period is over."""
+        """Remove what held only for a while after an outage or a restore."""
+        ended = self._target_pool.evacuations.end_restore(now_ms=self._clock.now_ms())
+        self._apply_evacuations(*ended)
         if self._before_restore is not None and not self._is_restored():
             self._before_restore = None
             self.apply_targets(self._listed.values())
--- a/src/waxwinghold/_gateway/readers.py
+++ b/src/waxwinghold/_gateway/readers.py
@@ -199,6 +199,18 @@
             for ip in self._local_peers():
                 self._send(ip, self._fresh_notice(echo=0))
 
+    def ask_instead(self):
+        """Ask another gateway of the data centre, as the store refuses this one.
+
+        The reader of a data centre would otherwise not hear of changes that the others
+        know while only its own calls fail.
+        """
+        if self._revision is None or not self._is_outdated():
+            return
+        others = self._eligible_peers()
+        if others:
+            self._ask(self._policy.choose(own_ip=others[0], local_peers=others[1:]))
+
     def reset(self):
         """Start again without a copy: the store has to be read from the start."""
         self._revision = None
@@ -260,13 +272,16 @@
 
     def _reader(self):
         """Return the address of the gateway that reads the store for this one."""
+        eligible = self._eligible_peers()
+        return self._policy.choose(own_ip=self._own_ip, local_peers=eligible)
+
+    def _eligible_peers(self):
         now_ms = self._clock.now_ms()
-        eligible = [
+        return [
             ip
             for ip in self._local_peers()
             if self._excluded_until_ms.get(ip, NEVER_MS) < now_ms
         ]
-        return self._policy.choose(own_ip=self._own_ip, local_peers=eligible)
 
     async def _sleep_until(self, until_ms):
         left_ms = until_ms - self._clock.now_ms()
--- a/src/waxwinghold/_gateway/targets.py
+++ b/src/waxwinghold/_gateway/targets.py
@@ -3,6 +3,7 @@
 import logbook
 
 from .._decisions.connections import idle_limit_count
+from .._decisions.evacuations import Evacuations
 from .._decisions.target_signals import TargetSignals, credible_hints
 from .permits import Permits
 from .tracked_target import TrackedTarget
@@ -23,6 +24,7 @@
             together, by service.
         signals: The ``TargetSignals`` of all targets, also of those no longer listed.
         permits: The ``Permits`` for targets that have named a limit.
+        evacuations: The ``Evacuations``.
     """
 
     def __init__(self, *, clock):
@@ -34,6 +36,7 @@
         self.grouped_services = frozenset()
         self.connection_limits = {}
         self.signals = TargetSignals()
+        self.evacuations = Evacuations()
         self.permits = Permits(clock=clock)
         self.permits.listeners.append(self.notify_listeners)
         self._paces = {}
@@ -242,6 +245,7 @@
                 listing=listing,
                 signals=self.signals,
                 permits=self.permits,
+                evacuations=self.evacuations,
             )
             details = {"target": name, "service": listing.service}
             log.info("target listed", extra=details)
--- a/src/waxwinghold/_gateway/tracked_target.py
+++ b/src/waxwinghold/_gateway/tracked_target.py
@@ -48,6 +48,7 @@
         listing: The ``Target`` that the platform lists.
         signals: The ``TargetSignals`` of all targets.
         permits: The ``Permits`` for targets that have named a limit.
+        evacuations: The ``Evacuations``.
 
     Attributes:
         connections: The target's ``ConnectionPool``.
@@ -65,10 +66,11 @@
         answered_send_ms: When the latest request that it answered was sent.
     """
 
-    def __init__(self, *, clock, listing, signals, permits):
+    def __init__(self, *, clock, listing, signals, permits, evacuations):
         self.listing = listing
         self.signals = signals
         self._permits = permits
+        self._evacuations = evacuations
         self._incarnation = f"{listing.name}/{listing.born_ms}"
         self.connections = ConnectionPool(clock=clock, address=listing.address)
         self._clock = clock
@@ -156,18 +158,28 @@
         return not self.is_stalled(now_ms)
 
     def accepts_requests(self, *, now_ms):
-        """Return whether neither the list nor the target itself forbids requests."""
-        is_ready = self.listing.state is TargetState.READY
+        """Return whether neither operator, list nor the target forbids requests."""
+        is_ready = self.listing.state is TargetState.READY and not self.is_evacuated
         return is_ready and self.signals.may_send(self.incarnation, now_ms=now_ms)
 
+    @property
+    def is_evacuated(self):
+        """Return whether the operator evacuates the target's data centre."""
+        return self._evacuations.has(self.listing.data_centre)
+
+    def is_leaving(self, *, now_ms):
+        """Return whether the list or the target itself says that it leaves."""
+        is_listed_leaving = self.listing.state is not TargetState.READY
+        return is_listed_leaving or self.signals.is_leaving(
+            self.incarnation, now_ms=now_ms
+        )
+
     def is_closed(self, *, now_ms):
         """Return whether the target is not expected to work within a second.
 
-        It is leaving, or its group lost a rank.
+        It is leaving, its data centre is evacuated, or its group lost a rank.
         """
-        if self.listing.state is not TargetState.READY:
-            return True
-        if self.signals.is_leaving(self.incarnation, now_ms=now_ms):
+        if self.is_evacuated or self.is_leaving(now_ms=now_ms):
             return True
         notice = self.rank_notice
         has_state = notice is not None and not self.is_silent(now_ms)
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -15,9 +15,12 @@
 from .._gateway.errors import BodyTooLongError, SendError
 from .._gateway.readers import UnreadableChangesError
 from .entries import UNREADABLE_ERRORS, read_configuration, read_target
+from .evacuation_keys import EvacuationKeys
 
 log = logbook.Logger("store")
 
+# What the operator writes: the configuration and the evacuations.
+OPERATOR_PREFIX = "op/"
 CONFIGURATION_KEY = "op/config"
 TARGETS_PREFIX = "servers/"
 ERA = b"store-era"
@@ -195,6 +198,7 @@
         self._client = KeepAliveClient(address=address)
         self._rng = rng or random.Random()
         self._targets = {}
+        self._evacuation_keys = EvacuationKeys()
         self._era = 0
         self._revision = None
         self._failures_count = 0
@@ -218,6 +222,7 @@
             except (StoreError, *UNREADABLE_ERRORS) as error:
                 self.malformed_count += isinstance(error, MalformedEraError)
                 self._published.record_failure(error)
+                self._readers.ask_instead()
                 await self._pause(error)
                 continue
             self._failures_count = 0
@@ -280,10 +285,8 @@
         self._published.begin_era()
 
     async def _read_all(self):
-        """Read the configuration and all targets anew."""
-        configuration_items, revision, era = await read_range(
-            self._client, CONFIGURATION_KEY
-        )
+        """Read the configuration, the evacuations and all targets anew."""
+        operator_items, revision, era = await read_range(self._client, OPERATOR_PREFIX)
         target_items, _, targets_era = await read_range(self._client, TARGETS_PREFIX)
         if targets_era != era:
             raise StoreError(status=None, reason="an era began between two reads")
@@ -294,8 +297,11 @@
         self._targets = {}
         for item in target_items:
             self._apply_target(item)
-        for item in configuration_items:
+        for item in operator_items:
             self._apply_configuration(item)
+        self._published.replace_evacuations(
+            self._evacuation_keys.listed(operator_items)
+        )
         # Only ends an outage; ``run`` records the age of this copy after the read.
         self._published.record_answer(asked_ms=self._published.asked_ms)
         self._published.apply_targets(self._targets.values())
@@ -339,6 +345,9 @@
         )
 
     def _apply_events(self, changes):
+        evacuations = self._evacuation_keys.changes(changes.events)
+        if evacuations:
+            self._published.record_evacuations(evacuations)
         changed = False
         for item in changes.events:
             if item.key == CONFIGURATION_KEY:
--- a/tests/support/gateway_fleet.py
+++ b/tests/support/gateway_fleet.py
@@ -27,6 +27,7 @@
         workers_count: Number of workers.
         settings: Further fields of the ``GatewaySettings``.
         data_centres: The data centre of each gateway; all are in one by default.
+        worker_data_centres: The same for the workers.
         worker: Options of each ``FleetWorker``.
 
     Attributes:
@@ -41,6 +42,7 @@
         workers_count,
         settings=None,
         data_centres=None,
+        worker_data_centres=None,
         **worker,
     ):
         self._settings = settings or {}
@@ -53,6 +55,12 @@
         self.gateways = [None] * gateways_count
         self._tasks = [None] * gateways_count
         self._data_centres = data_centres or ["dc-a"] * gateways_count
+        self._worker_zones = {
+            worker.name: zone
+            for worker, zone in zip(
+                self.workers, worker_data_centres or ["dc-a"] * workers_count
+            )
+        }
         self._store_wires = []
         self._cut_indexes = set()
         self._port = free_port()
@@ -211,7 +219,8 @@
         )
 
     def _register(self, worker):
-        entry = worker_entry(service="models", address=worker.address)
+        zone = self._worker_zones.get(worker.name, "dc-a")
+        entry = worker_entry(service="models", address=worker.address, zone=zone)
         self.store.put(f"servers/{worker.name}", entry)
 
     def _replace_worker(self, worker):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -66,6 +66,12 @@
     def names(self):
         return {target.listing.name for target in self.target_pool}
 
+    async def answer(self, after):
+        client = KeepAliveClient(address=self.store.address)
+        self.addCleanup(client.close)
+        query = {"prefix": "", "after": after, "wait-ms": 0}
+        return await read_store(client, "/v1/kv-watch", limit_ms=1000, **query)
+
     async def until(self, condition, limit_s=5):
         async with asyncio.timeout(limit_s):
             while not condition():
@@ -85,12 +91,6 @@
         self.start()
         await self.until(lambda: self.names() == {"i-1"})
 
-    async def answer(self, after):
-        client = KeepAliveClient(address=self.store.address)
-        self.addCleanup(client.close)
-        query = {"prefix": "", "after": after, "wait-ms": 0}
-        return await read_store(client, "/v1/kv-watch", limit_ms=1000, **query)
-
     async def test_passed_on_answers_are_applied_like_own_ones(self):
         await self.read_once()
         self.put_worker("i-2")
