Pass large configurations on inside a data centre

Cause: changes above CHANGES_LIMIT_BYTES (40,000) were not kept by the reader, so each gateway of the data centre read them from the store. On the previous code, test_one_gateway_reads_a_large_version_from_the_store fails: one version of 1,400 routes is read by 20 of 20 gateways, 22 calls and 8,633,160 bytes.

Change: the reader keeps large answers as one packed answer with the newest configuration, compresses it (1,400 routes: 60,840 bytes, above the limit of one datagram) and sends it in fragments of 8,000 bytes to one follower after the other, at 1,200 bytes per ms. Followers ask again for lost fragments only, and read the store if the reader cannot pass the changes on in time. Ask and fresh notices get optional fields; the format number stays, as previous gateways ignore the fields and are never sent a fragment.

Tested: tests.test_gateway_large_changes, test_gateway_readers, test_platform_store and test_fuzz_datagrams, 58 passed.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -27,7 +27,7 @@
     UnconfiguredError,
 )
 from .model import CallerLimits
-from .notices import AskNotice, FreshNotice
+from .notices import AskNotice, FragmentNotice, FreshNotice
 from .peers import Peers
 from .published_state import PublishedState
 from .readers import StoreReaders
@@ -111,6 +111,16 @@
         )
         self.peers.handlers[AskNotice] = self.readers.on_ask
         self.peers.handlers[FreshNotice] = self.readers.on_fresh
+        self.peers.handlers[FragmentNotice] = self.readers.on_fragment
+        self.metrics.gauge(
+            "large_changes_sent_bytes", lambda: self.readers.large_sent_bytes
+        )
+        self.metrics.gauge(
+            "large_changes_received", lambda: self.readers.large_received_count
+        )
+        self.metrics.gauge(
+            "large_changes_not_received", lambda: self.readers.large_missed_count
+        )
         self._source = make_source(self.published, self.readers)
         self.metrics.gauge(
             "malformed_headers",
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -10,6 +10,9 @@
 
 FORMAT = 5  # Receivers ignore notices of another format.
 LIMIT_BYTES = 60_000  # Size of one encoded notice.
+# Bytes of one fragment: six IP packets, so that a lost packet costs little.
+FRAGMENT_BYTES = 8000
+FRAGMENTS_LIMIT_COUNT = 64  # 512 KB compressed; 3,000 routes take 110 KB.
 MEMBERS_LIMIT_COUNT = 16  # A sender names a few; each becomes a receiver for a while.
 _OCTET = r"(?:25[0-5]|2[0-4][0-9]|1[0-9][0-9]|[1-9]?[0-9])"
 _IP = rf"(?:{_OCTET}\.){{3}}{_OCTET}|\[?[0-9a-fA-F:]*:[0-9a-fA-F:]*\]?"
@@ -216,11 +219,17 @@
     Args:
         nonce: A random number that the answer repeats; it cannot be guessed.
         at: The store revision of the sender's copy.
+        takes_fragments: Whether the sender understands a ``FragmentNotice``.
+        package: Number of the package of which the sender lacks some fragments.
+        missing: The numbers of these fragments; empty to ask for all changes.
     """
 
     format: int
     nonce: int
     at: int
+    takes_fragments: bool = False
+    package: Count = 0
+    missing: Annotated[list[Count], msgspec.Meta(max_length=FRAGMENTS_LIMIT_COUNT)] = []
 
 
 class FreshNotice(msgspec.Struct, array_like=True, frozen=True, tag="fresh"):
@@ -233,7 +242,8 @@
         age_ms: Age of the sender's copy in milliseconds, counted from the sending of
             the call to the store that confirmed the copy.
         changes: The store's answers that lead from the asker's revision to ``at``;
-            empty if the sender no longer has all of them.
+            empty if the sender no longer has all of them, or they are large.
+        is_queued: Whether the changes will follow in ``FragmentNotice``s.
     """
 
     format: int
@@ -241,6 +251,31 @@
     at: int
     age_ms: Annotated[float, msgspec.Meta(ge=0)]
     changes: list[bytes] = []
+    is_queued: bool = False
+
+
+class FragmentNotice(msgspec.Struct, array_like=True, frozen=True, tag="fragment"):
+    """One part of large changes, which are compressed.
+
+    Args:
+        echo: The nonce of the ``AskNotice`` that this one answers.
+        at: The store revision that the changes lead to.
+        age_ms: Time in milliseconds from the sending of the call to the store that
+            confirmed that revision to the arrival of the ``AskNotice``; negative if
+            the call was sent later.
+        package: Number of the compressed changes among those of the sender.
+        number: Number of this fragment, from 0 on.
+        count: Number of fragments.
+    """
+
+    format: int
+    echo: int
+    at: int
+    age_ms: Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)]
+    package: Count
+    number: Count
+    count: Annotated[int, msgspec.Meta(ge=1, le=FRAGMENTS_LIMIT_COUNT)]
+    data: Annotated[bytes, msgspec.Meta(min_length=1, max_length=FRAGMENT_BYTES)]
 
 
 class AskSuspectsNotice(msgspec.Struct, array_like=True, frozen=True, tag="ask-lost"):
@@ -340,6 +375,7 @@
     | AskMapNotice
     | AskNotice
     | FreshNotice
+    | FragmentNotice
     | AskSuspectsNotice
     | SuspectsNotice
     | AskLimitsNotice
--- a/src/waxwinghold/_gateway/readers.py
+++ b/src/waxwinghold/_gateway/readers.py
@@ -4,11 +4,13 @@
 every call that waits there. Therefore only one gateway of each data centre, the
 reader, waits at the store for changes. The other gateways, its followers, ask the
 reader several times a second for changes. They read the store themselves only if the
-reader cannot pass on the changes or their own copy gets too old.
+reader cannot pass on the changes or their own copy gets too old. Changes that do not
+fit into one notice are passed on by ``large_changes``.
 """
 
 import asyncio
 import hashlib
+import random
 import secrets
 from collections import deque
 
@@ -16,6 +18,12 @@
 
 from .._errors import WaxwingError
 from .._registry import Registry
+from .large_changes import (
+    BrokenPackageError,
+    LargeChangesReceiver,
+    LargeChangesSender,
+    decompress,
+)
 from .notices import FORMAT, AskNotice, FreshNotice
 
 log = logbook.Logger("readers")
@@ -40,6 +48,26 @@
 READ_SPACING_MS = 200.0
 ASK_SPACING_MS = 20.0
 CHANGES_LIMIT_BYTES = 40_000  # In one notice; a datagram can hold a little more.
+KEPT_LIMIT_BYTES = 2_000_000  # Without the compressed copies, 1.5 MB at most.
+# Followers read the store themselves when their copies get older than
+# LARGE_AGE_LIMIT_MS, so none needs changes from before this time.
+LARGE_KEPT_MS = 5000.0
+LARGE_SPACING_MS = 500.0  # Between two questions that are answered by large changes.
+# From the moment at which a follower hears of a large change. With the time for reading
+# the store then, a configuration is in force within 3 s.
+LARGE_WAIT_MS = 1900.0
+# A follower that waits for large changes may get older than OWN_READ_AGE_MS: it knows
+# what it waits for, and for how long. 800 ms remain for reading the store until its
+# copy of the keys is too old for requests (``freshness_limit_ms`` less a margin).
+LARGE_AGE_LIMIT_MS = 3500.0
+# Fragments of one answer follow each other within 7 ms; a pause of this length means
+# that the last ones are lost. The jitter spreads the questions of many followers.
+FRAGMENT_PAUSE_MS = 60.0
+FRAGMENT_PAUSE_JITTER_MS = 30.0
+# A wait may end early by the rounding of the time; a rest of no length would be waited
+# for over and over.
+SHORTEST_WAIT_MS = 0.1
+RESEND_WAIT_MS = 150.0  # Readers send lost fragments after the present turn.
 PENDING_ASKS_LIMIT_COUNT = 10  # An answer arrives within a few intervals or is lost.
 NEVER_MS = float("-inf")
 MS_PER_SECOND = 1000
@@ -123,10 +151,24 @@
         self._send = send
         self._policy = reader_policy.make(policy)
         self.apply_changes = None
+        self.pack_changes = None
         self._revision = None
         # The highest revision that any peer has announced.
         self._newest_revision = 0
         self._changes = deque(maxlen=CHANGES_LIMIT_COUNT)
+        # The first of the changes is large if it leads to this revision.
+        self._large_until = None
+        self._large_ms = NEVER_MS
+        self._sender = LargeChangesSender(
+            clock=clock, send=send, read_changes=self._read_changes
+        )
+        self._receiver = LargeChangesReceiver()
+        # Whether the reader has announced that large changes will follow.
+        self._is_queued = False
+        self._last_large_ask_ms = NEVER_MS
+        self._behind_since_ms = None
+        self.large_received_count = 0
+        self.large_missed_count = 0
         # Whether the last answer was for a later revision, but held no changes.
         self._changes_missing = False
         self._notice_arrived = asyncio.Event()
@@ -137,6 +179,17 @@
         self._last_read_ms = NEVER_MS
         self._excluded_until_ms = {}
 
+    @property
+    def large_sent_bytes(self):
+        """Return the size of all fragments of large changes that were sent."""
+        return self._sender.sent_bytes
+
+    @property
+    def kept_bytes(self):
+        """Return the size of all that is kept to be passed on."""
+        changes_bytes = sum(len(answer) for _, _, answer in self._changes)
+        return changes_bytes + self._sender.kept_bytes
+
     async def wait_until_due(self):
         """Wait until this gateway has to call the store.
 
@@ -165,14 +218,60 @@
     async def _fetch_changes(self, reader):
         """Ask the reader for changes, and return whether they arrived."""
         await self._sleep_until(self._last_ask_ms + ASK_SPACING_MS)
+        await self._sleep_until(self._last_large_ask_ms + LARGE_SPACING_MS)
+        self._is_queued = False
         self._ask(reader)
         until_ms = self._last_ask_ms + CHANGES_WAIT_MS
         while self._is_behind() and not self._changes_missing:
+            if self._is_queued:
+                return await self._receive_large(reader)
             if self._clock.now_ms() >= until_ms:
                 return False
             await self._wait_for_notice(until_ms)
         return not self._is_behind()
 
+    async def _receive_large(self, reader):
+        """Wait for large changes, and return whether the store need not be read.
+
+        Questions are repeated while nothing arrives, so that a lost reader is noticed.
+        """
+        before = self._revision
+        self._last_large_ask_ms = self._last_ask_ms
+        limit_ms = self._behind_since_ms + LARGE_WAIT_MS
+        pause_ms = FRAGMENT_PAUSE_MS + random.uniform(0, FRAGMENT_PAUSE_JITTER_MS)
+        while self._revision == before and self._is_queued:
+            now_ms = self._clock.now_ms()
+            if now_ms >= limit_ms or self._is_outdated(LARGE_AGE_LIMIT_MS):
+                self._record_missed("they did not arrive in time")
+                return False
+            arrived_ms = self._receiver.last_arrival_ms
+            if arrived_ms is None:
+                due_ms = self._last_ask_ms + ASK_INTERVAL_MS
+            elif arrived_ms >= self._last_ask_ms:
+                due_ms = arrived_ms + pause_ms
+            else:
+                due_ms = self._last_ask_ms + RESEND_WAIT_MS
+            if now_ms >= due_ms:
+                if self._reader() != reader:
+                    return True  # The caller asks the next one.
+                self._ask(reader)
+                continue
+            await self._wait_for_notice(
+                min(due_ms, limit_ms), age_limit_ms=LARGE_AGE_LIMIT_MS
+            )
+        if self._revision != before:
+            return True
+        self._record_missed("the reader does not pass them on")
+        return False
+
+    def _record_missed(self, reason):
+        self.large_missed_count += 1
+        log.info(
+            "large changes not received; reading the store",
+            extra={"at": self._revision, "newest": self._newest_revision}
+            | {"reason": reason},
+        )
+
     def record_read(self, at, *, after=None, answer=b""):
         """Record that this gateway has read the store.
 
@@ -185,41 +284,121 @@
         if after is None:
             self._changes.clear()
         elif len(answer) > CHANGES_LIMIT_BYTES:
-            # Nothing that includes these changes can be passed on.
-            self._changes.clear()
+            self._keep_large(after, at, answer)
         elif at > after:
             self._changes.append((after, at, answer))
+            self._limit_kept()
         self._changes_missing = False
+        self._receiver.clear()
         is_newer = self._revision is not None and at > self._revision
         self._revision = at
         # A peer that announced a later revision was wrong, or will announce it again.
         # If that revision were kept, this gateway would call the store over and over.
         self._newest_revision = min(self._newest_revision, at)
+        self._behind_since_ms = None
         if is_newer and self._reader() == self._own_ip:
             for ip in self._local_peers():
                 self._send(ip, self._fresh_notice(echo=0))
 
+    def _keep_large(self, after, at, answer):
+        """Keep a large answer, together with all others as one.
+
+        Then only one large configuration is kept.
+        """
+        if self.pack_changes is None:
+            self._changes.clear()
+            return
+        now_ms = self._clock.now_ms()
+        is_first_large = self._changes and self._changes[0][1] == self._large_until
+        if is_first_large and now_ms - self._large_ms > LARGE_KEPT_MS:
+            self._changes.popleft()
+        if self._changes:
+            after = self._changes[0][0]
+        answers = [kept for _, _, kept in self._changes]
+        packed = self.pack_changes([*answers, answer])
+        self._changes.clear()
+        self._changes.append((after, at, packed))
+        self._large_until = at
+        self._large_ms = now_ms
+        self._limit_kept()
+
+    def _limit_kept(self):
+        while sum(len(answer) for _, _, answer in self._changes) > KEPT_LIMIT_BYTES:
+            self._changes.popleft()
+
     def reset(self):
         """Start again without a copy: the store has to be read from the start."""
         self._revision = None
         self._changes.clear()
+        self._sender.clear()
+        self._receiver.clear()
 
     def on_ask(self, ip, notice):
         """Answer an ``AskNotice`` of another gateway."""
-        if self._revision is not None:
-            changes = self._changes_since(notice.at)
-            self._send(ip, self._fresh_notice(echo=notice.nonce, changes=changes))
+        if self._revision is None:
+            return
+        changes = self._changes_since(notice.at)
+        is_queued = (
+            not changes
+            and notice.takes_fragments
+            and notice.at < self._revision
+            # Nobody else is to be sent that much for a small question.
+            and ip in self._local_peers()
+            and self._sender.accept(ip, notice)
+        )
+        fresh = self._fresh_notice(
+            echo=notice.nonce, changes=changes, is_queued=is_queued
+        )
+        self._send(ip, fresh)
 
     def on_fresh(self, ip, notice):
         """Handle a ``FreshNotice``, sent as an answer or unasked."""
         if notice.at > self._newest_revision:
             self._newest_revision = notice.at
+        if self._is_behind() and self._behind_since_ms is None:
+            self._behind_since_ms = self._clock.now_ms()
         asked_ms = self._pending_asks.pop(notice.echo, None)
         if asked_ms is not None:
             self._unanswered_since_ms = None
             self._apply_answer(ip, notice, asked_ms)
         self._notice_arrived.set()
 
+    def on_fragment(self, ip, notice):
+        """Handle a ``FragmentNotice``; only answers to own questions count."""
+        now_ms = self._clock.now_ms()
+        whole = self._receiver.add(ip, notice, now_ms=now_ms)
+        if whole is not None:
+            self._receiver.clear()
+            self._apply_large(ip, notice, *whole)
+        self._notice_arrived.set()
+
+    def _apply_large(self, ip, notice, data, confirmed_ms):
+        if self._revision is None or notice.at <= self._revision:
+            return
+        try:
+            self.apply_changes(decompress(data), at=notice.at)
+        except (BrokenPackageError, UnreadableChangesError) as error:
+            self._is_queued = False
+            self._exclude(ip, str(error))
+            return
+        self._record_applied(notice.at)
+        self.large_received_count += 1
+        self._published.record_answer(asked_ms=confirmed_ms)
+        log.info(
+            "large changes received",
+            extra={"reader": ip, "at": notice.at, "compressed": len(data)},
+        )
+
+    def _record_applied(self, at):
+        """Record that the changes up to ``at``, passed on by a peer, were applied."""
+        self._revision = at
+        # Only changes read from the store are passed on. Gateways that ask this
+        # one for others read the store themselves.
+        self._changes.clear()
+        self._sender.clear()
+        self._receiver.clear()
+        self._behind_since_ms = self._clock.now_ms() if self._is_behind() else None
+
     def _apply_answer(self, ip, notice, asked_ms):
         if notice.age_ms > OWN_READ_AGE_MS:
             self._exclude(ip, f"its copy is {notice.age_ms:.0f} ms old")
@@ -233,14 +412,26 @@
             except UnreadableChangesError as error:
                 self._exclude(ip, str(error))
                 return
-            self._revision = notice.at
-            # Only changes read from the store are passed on. Gateways that ask this
-            # one for others read the store themselves.
-            self._changes.clear()
-        self._changes_missing = notice.at > self._revision
-        if not self._changes_missing:
+            self._record_applied(notice.at)
+        is_behind = notice.at > self._revision
+        self._is_queued = is_behind and notice.is_queued
+        self._changes_missing = is_behind and not notice.is_queued
+        if not is_behind:
             self._published.record_answer(asked_ms=asked_ms - notice.age_ms)
 
+    def _read_changes(self, at):
+        """Return the changes for a follower at revision ``at``.
+
+        Returns:
+            ``(after, until, changes, time that they confirm)``; ``None`` if not all of
+            them are kept.
+        """
+        if not self._changes or self._changes[0][0] > at:
+            return None
+        changes = self.pack_changes([answer for _, _, answer in self._changes])
+        after, until = self._changes[0][0], self._changes[-1][1]
+        return after, until, changes, self._published.asked_ms
+
     def _changes_since(self, at):
         """Return the store's answers from revision ``at`` to the present one.
 
@@ -250,6 +441,8 @@
         for after, until, answer in reversed(self._changes):
             if until <= at:
                 break
+            if until == self._large_until:
+                return []
             size += len(answer)
             if size > CHANGES_LIMIT_BYTES:
                 return []
@@ -273,19 +466,19 @@
         if left_ms > 0:
             await self._clock.sleep_ms(left_ms)
 
-    async def _wait_for_notice(self, until_ms):
+    async def _wait_for_notice(self, until_ms, *, age_limit_ms=OWN_READ_AGE_MS):
         """Wait for a notice until ``until_ms`` or until the copy gets too old."""
         self._notice_arrived.clear()
-        until_ms = min(until_ms, self._published.asked_ms + OWN_READ_AGE_MS + 1)
-        wait_ms = max(0.0, until_ms - self._clock.now_ms())
+        until_ms = min(until_ms, self._published.asked_ms + age_limit_ms + 1)
+        wait_ms = max(SHORTEST_WAIT_MS, until_ms - self._clock.now_ms())
         try:
             async with asyncio.timeout(wait_ms / MS_PER_SECOND):
                 await self._notice_arrived.wait()
         except TimeoutError:
             return
 
-    def _is_outdated(self):
-        return self._published.age_ms > OWN_READ_AGE_MS
+    def _is_outdated(self, age_limit_ms=OWN_READ_AGE_MS):
+        return self._published.age_ms > age_limit_ms
 
     def _is_behind(self):
         return self._revision is None or self._newest_revision > self._revision
@@ -300,19 +493,29 @@
             return
         nonce = secrets.randbits(63) or 1
         self._pending_asks[nonce] = now_ms
+        self._receiver.record_ask(reader, nonce, now_ms=now_ms)
         if len(self._pending_asks) > PENDING_ASKS_LIMIT_COUNT:
             del self._pending_asks[next(iter(self._pending_asks))]
-        self._send(reader, AskNotice(format=FORMAT, nonce=nonce, at=self._revision))
+        ask = AskNotice(
+            format=FORMAT,
+            nonce=nonce,
+            at=self._revision,
+            takes_fragments=True,
+            package=self._receiver.package,
+            missing=self._receiver.missing(reader),
+        )
+        self._send(reader, ask)
 
     def _exclude(self, ip, reason):
         self._excluded_until_ms[ip] = self._clock.now_ms() + EXCLUSION_MS
         log.info("reader excluded", extra={"reader": ip, "reason": reason})
 
-    def _fresh_notice(self, *, echo, changes=()):
+    def _fresh_notice(self, *, echo, changes=(), is_queued=False):
         return FreshNotice(
             format=FORMAT,
             echo=echo,
             at=self._revision,
             age_ms=min(self._published.age_ms, EXCLUSION_MS),
             changes=list(changes),
+            is_queued=is_queued,
         )
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -13,6 +13,7 @@
 from .._errors import WaxwingError
 from .._gateway.client import KeepAliveClient
 from .._gateway.errors import BodyTooLongError, SendError
+from .._gateway.notices import Count
 from .._gateway.readers import UnreadableChangesError
 from .entries import UNREADABLE_ERRORS, read_configuration, read_target
 
@@ -87,8 +88,28 @@
     at: _Revision
 
 
+class _PackedItem(_Item, array_like=True):
+    """An item whose value is not in base64, so that it compresses well."""
+
+    value: bytes | None = None
+
+
+class _PackedEvents(msgspec.Struct, array_like=True):
+    events: list[_PackedItem]
+    at: _Revision
+
+
+class _Version(msgspec.Struct):
+    version: Count
+
+
+# Begins answers that ``StoreWatcher.pack_changes`` returned; JSON never begins so.
+PACKED = b"\0"
 _page_decoder = msgspec.json.Decoder(_Page)
 _events_decoder = msgspec.json.Decoder(_Events)
+_packed_decoder = msgspec.msgpack.Decoder(_PackedEvents)
+_packed_encoder = msgspec.msgpack.Encoder()
+_version_decoder = msgspec.json.Decoder(_Version)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -192,6 +213,7 @@
         self._published = published
         self._readers = readers
         readers.apply_changes = self.apply_changes
+        readers.pack_changes = self.pack_changes
         self._client = KeepAliveClient(address=address)
         self._rng = rng or random.Random()
         self._targets = {}
@@ -238,13 +260,42 @@
         if era != self._era:
             raise UnreadableChangesError(f"changes of era {era} in era {self._era}")
         try:
-            changes = _events_decoder.decode(answer)
+            changes = _decode_changes(answer)
         except UNREADABLE_ERRORS as error:
             raise UnreadableChangesError(
                 f"malformed changes from another gateway: {error}"
             ) from error
         self._apply_events(changes)
 
+    def pack_changes(self, answers):
+        """Return one answer with the changes of several.
+
+        Of the configurations, it holds only the one that would be in force in the end;
+        of the other keys, the last event of each. All events are applied before any of
+        them takes effect, so the result is the same.
+
+        Args:
+            answers: Answers to watches in their order, as bytes; each may be the result
+                of this method.
+        """
+        changes = [_decode_changes(answer) for answer in answers]
+        events = [item for part in changes for item in part.events]
+        last = {item.key: item for item in events}
+        last[CONFIGURATION_KEY] = _newest_configuration(events)
+        packed = [
+            _PackedItem(
+                key=item.key,
+                value=_value(item),
+                revision=item.revision,
+                deleted=item.deleted,
+            )
+            for item in events
+            if item is last[item.key]
+        ]
+        return PACKED + _packed_encoder.encode(
+            _PackedEvents(events=packed, at=changes[-1].at)
+        )
+
     def _position(self, revision):
         """Return the position of a copy at ``revision`` of the present era."""
         return self._era * REVISIONS_PER_ERA_COUNT + revision
@@ -392,10 +443,35 @@
     raise MalformedEraError(status=head.status, reason="malformed era")
 
 
+def _decode_changes(answer):
+    if answer.startswith(PACKED):
+        return _packed_decoder.decode(answer[len(PACKED) :])
+    return _events_decoder.decode(answer)
+
+
+def _newest_configuration(events):
+    """Return the last item of the highest version that can be read, or ``None``."""
+    versions = []
+    for index, item in enumerate(events):
+        data = _value(item) if item.key == CONFIGURATION_KEY else None
+        if data is None:
+            continue
+        try:
+            versions.append((_version_decoder.decode(data).version, index, data))
+        except UNREADABLE_ERRORS:
+            continue
+    for _, index, data in sorted(versions, reverse=True):
+        if read_configuration(data) is not None:
+            return events[index]
+    return None
+
+
 def _value(item):
     """Return an item's value as bytes; ``None`` if deleted or not decodable."""
     if item.deleted or item.value is None:
         return None
+    if isinstance(item.value, bytes):
+        return item.value
     try:
         return base64.b64decode(item.value, validate=True)
     except (binascii.Error, ValueError) as error:
