--- a/tests/test_fuzz_datagrams.py
+++ b/tests/test_fuzz_datagrams.py
@@ -7,6 +7,7 @@
 import asyncio
 import types
 import unittest
+import zlib
 
 import logbook
 import msgspec
@@ -19,6 +20,7 @@
 from waxwinghold._gateway.notices import (
     FORMAT,
     CountsNotice,
+    FragmentNotice,
     FreshNotice,
     GatewayNotice,
     RankNotice,
@@ -348,6 +350,40 @@
             self.assertLessEqual(answer_ms, asked_ms)
             self.assertLessEqual(asked_ms - OWN_READ_AGE_MS, answer_ms)
 
+    @ANY_SPEED
+    @given(
+        st.lists(
+            instances(
+                FragmentNotice,
+                format=(FORMAT,),
+                at=(5, 6),
+                package=(1, 2),
+                number=(0, 1),
+                count=(1, 2),
+                data=(zlib.compress(b"{}"),),
+            ),
+            min_size=1,
+            max_size=4,
+        )
+    )
+    @example([FragmentNotice(FORMAT, 0, 6, -1e9, 1, 0, 1, zlib.compress(b"{}"))])
+    @example([FragmentNotice(FORMAT, 0, 6, float("nan"), 1, 0, 1, b"x")])
+    def test_no_fragments_make_the_own_copy_younger_than_their_arrival(self, received):
+        sent = []
+        readers, published = self.readers(sent)
+        readers.record_read(5)
+        readers._ask("127.0.0.1")
+        self.clock.time_ms += 10.0
+        for notice in received:
+            notice = msgspec.structs.replace(notice, echo=sent[-1].nonce)
+            try:
+                notice = notices.decoder.decode(encoder.encode(notice))
+            except msgspec.ValidationError:
+                continue
+            readers.on_fragment("127.0.0.1", notice)
+        for answer_ms in published.answers_ms:
+            self.assertLessEqual(answer_ms, self.clock.now_ms())
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_gateway_large_changes.py
+++ b/tests/test_gateway_large_changes.py
@@ -143,6 +143,14 @@
         rate_share = figures["fragment bytes"] / figures["seconds"] / 1000
         self.assertLess(rate_share, RATE_BYTES_PER_MS)
 
+    def test_a_storm_read_over_the_narrowest_link(self):
+        """The store's answer has all versions, which take longer than its time limit.
+
+        Without another way to read them, a reader never catches up.
+        """
+        figures = storm_figures(GATEWAYS_COUNT)
+        self.assertLess(figures["took ms"], CONFIGURATION_LIMIT_MS)
+
     def test_all_followers_of_the_largest_data_centre_have_a_version_in_time(self):
         async def scenario(world):
             took_ms = await spread_version(world)
@@ -586,7 +594,11 @@
 def print_capacity():
     for gateways_count in (20, 34, 100):
         for versions_count in (1, VERSIONS_COUNT):
-            figures = storm_figures(gateways_count, versions_count)
+            figures = storm_figures(
+                gateways_count,
+                versions_count,
+                store_bytes_per_ms=WIDE_LINK_BYTES_PER_MS,
+            )
             print(gateways_count, versions_count, figures)
 
 
