Keep the rate of cold targets over all gateways

Cause: a target that has just started, or turns cold, takes only some requests a second, and gateways sent it as many as a warm one.

Change: `ColdTargets` knows which targets are cold, from the list, the entry's own time, the start time that the agent of its host tells, and ended evacuations. While a target is cold, the service's rate is a limit with permits, beside a limit that it names itself. The issuer on each side of a cut issues its part of the gateways heard lately, and one that has just started none for 2 s. A permit is asked for only where the cold target has less load than the warm ones, and none where slots and mean time keep it below the rate. A service of cold targets counts neither as closed nor as stalled. Without a rate in the configuration nothing changes.

--- a/src/waxwinghold/_decisions/request_limits.py
+++ b/src/waxwinghold/_decisions/request_limits.py
@@ -185,18 +185,19 @@
     def __init__(self):
         self._buckets = OrderedDict()
 
-    def issue(self, target, *, per_second, now_ms):
+    def issue(self, target, *, per_second, now_ms, burst_ms=BURST_MS):
         """Issue a permit for one request to a target.
 
         Args:
             per_second: The limit of the target.
+            burst_ms: Permits of this time may be given out at once.
 
         Returns:
             0 if the permit is issued; otherwise after how many milliseconds the next
             one can be.
         """
         count, filled_ms = self._buckets.get(target, (0.0, now_ms))
-        burst_count = max(BURST_MIN_COUNT, per_second * BURST_MS / MS_PER_SECOND)
+        burst_count = max(BURST_MIN_COUNT, per_second * burst_ms / MS_PER_SECOND)
         gained_count = max(0.0, now_ms - filled_ms) * per_second / MS_PER_SECOND
         count = min(burst_count, count + gained_count)
         is_issued = count >= 1
@@ -220,12 +221,12 @@
         self._ask_from_ms = {}
         self._unanswered = set()
 
-    def add(self, target, *, now_ms):
-        """Add a permit for one request to a target."""
+    def add(self, target, *, now_ms, lifetime_ms=PERMIT_LIFETIME_MS):
+        """Add a permit for one request to a target, usable for ``lifetime_ms``."""
         self._ask_from_ms.pop(target, None)
         self._unanswered.discard(target)
         self._denied_until_ms.pop(target, None)
-        self._ends_ms.setdefault(target, deque()).append(now_ms + PERMIT_LIFETIME_MS)
+        self._ends_ms.setdefault(target, deque()).append(now_ms + lifetime_ms)
 
     def deny(self, target, *, wait_ms, now_ms):
         """Record that there is no permit for a target for ``wait_ms``."""
--- a/src/waxwinghold/_decisions/target_choice.py
+++ b/src/waxwinghold/_decisions/target_choice.py
@@ -15,6 +15,8 @@
 # A target whose notices have stopped is used last: its host may be cut off, or only
 # its agent may have failed.
 SILENT_WEIGHT = 2.0
+# At equal load, a warm target is chosen before a cold one, also in another data centre.
+COLD_WEIGHT = 0.05
 # A gateway compares this many times its equal share of the targets, drawn at random.
 # If all gateways compared all targets on lagging counts, they would all send to the
 # same one.
@@ -166,4 +168,6 @@
             cost += OTHER_DATA_CENTRE_WEIGHT
         if target.is_silent(now_ms):
             cost += SILENT_WEIGHT
+        if target.is_cold(now_ms=now_ms):
+            cost += COLD_WEIGHT
         return cost + self._rng.random() * OTHER_DATA_CENTRE_WEIGHT / 2
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -19,6 +19,7 @@
     NoTargetError,
     PausedTargetsError,
 )
+from .wanted_permits import wanted_permits
 
 NO_TARGET_RETRY_AFTER_MS = 500.0  # About the time it takes to replace a lost target.
 MS_PER_SECOND = 1000
@@ -122,7 +123,11 @@
     def release(self, slot):
         """Free the ``Slot`` that ``acquire`` returned."""
         slot.target.release_slot()
-        self._line.record_departure(slot, now_ms=self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        self._line.record_departure(slot, now_ms=now_ms)
+        self._target_pool.cold_tracking.cold.record_held(
+            self.service, held_ms=now_ms - slot.started_ms
+        )
         self._target_pool.notify_listeners()
 
     def retry_after_ms(self, *, end_ms):
@@ -162,7 +167,7 @@
         """Reject the queued requests that no target takes now, at its own word."""
         pool = self._target_pool
         has_reasons = (
-            len(pool.signals) or len(pool.permits.limits) or len(pool.evacuations)
+            len(pool.signals) or pool.permits.has_limits or len(pool.evacuations)
         )
         if not self._line or not has_reasons:
             return
@@ -258,17 +263,9 @@
     def _choose_target(self, tried, now_ms):
         targets = self._target_pool.of_service(self.service)
         permits = self._target_pool.permits
-        if len(permits.limits):
-            permits.want(
-                [
-                    target.incarnation
-                    for target in targets
-                    if target.listing.name not in tried
-                    and not permits.may_send(target.incarnation)
-                    and target.is_usable_with_permit(now_ms=now_ms)
-                    and target.free_slots_count(now_ms=now_ms) > 0
-                ]
-            )
+        if permits.has_limits:
+            untried = [target for target in targets if target.listing.name not in tried]
+            permits.want(wanted_permits(untried, permits=permits, now_ms=now_ms))
         return self._selection_policy.choose(targets, tried=tried, now_ms=now_ms)
 
 
@@ -282,6 +279,9 @@
 def service_state(targets, *, now_ms):
     """Return the ``ServiceState`` of a service with these ``TrackedTarget`` objects."""
     usable = [target for target in targets if target.is_usable(now_ms=now_ms)]
+    if not usable:
+        # Cold targets get permits soon.
+        usable = [target for target in targets if target.is_working(now_ms=now_ms)]
     slots_count = sum(target.listing.slots_count for target in usable)
     free_count = sum(
         max(0, target.free_slots_count(now_ms=now_ms)) for target in usable
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -87,6 +87,10 @@
         self.metrics.gauge(
             "evacuated_data_centres", lambda: len(self.target_pool.evacuations)
         )
+        self.metrics.gauge(
+            "targets_cold",
+            lambda: self.target_pool.cold_tracking.count(self.target_pool),
+        )
         self.metrics.gauge(
             "targets_limited",
             lambda: self.target_pool.permits.limits.limited_count(
--- a/src/waxwinghold/_gateway/model.py
+++ b/src/waxwinghold/_gateway/model.py
@@ -83,11 +83,16 @@
         connections_limit_count: Connections that one target accepts from all
             gateways together.
         grouped: Whether its targets are ranks of expert groups.
+        cold_ms: How long a target is cold after a start, in milliseconds.
+        cold_per_second: Requests a second that a cold target takes from all gateways
+            together; 0 if cold targets need no care.
     """
 
     name: str
     connections_limit_count: int
     grouped: bool = False
+    cold_ms: float = 0.0
+    cold_per_second: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -137,6 +142,8 @@
         slots_count: Requests that it can run at once.
         born_ms: Wall time of its start in milliseconds; a change shows a restart
             under the same name.
+        cold_left_ms: How much longer it is cold, by its own word, in milliseconds.
+        written: Number of the write of its entry; a change shows a new entry.
     """
 
     name: str
@@ -146,3 +153,5 @@
     slots_count: int
     state: TargetState = TargetState.READY
     born_ms: int = 0
+    cold_left_ms: float = 0.0
+    written: int = 0
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -96,7 +96,10 @@
             clock=clock, limits=permits.limits, send=self.send
         )
         permits.connect(
-            own_ip=settings.peers_ip, active_ips=self.active_ips, send=self.send
+            own_ip=settings.peers_ip,
+            active_ips=self.active_ips,
+            send=self.send,
+            seed_ips=self._seed_ips,
         )
         self._peers = {}
         self._sequence = 0
--- a/src/waxwinghold/_gateway/permits.py
+++ b/src/waxwinghold/_gateway/permits.py
@@ -1,4 +1,4 @@
-"""Permits for requests to targets that have named a limit.
+"""Permits for requests to targets that have named a limit, or that are cold.
 
 The gateways choose one of them for each such target, which issues the permits; the
 others ask it. A gateway alone issues all of them itself.
@@ -9,7 +9,14 @@
 
 import logbook
 
+from .._decisions.cold_targets import (
+    COLD_BURST_MS,
+    COLD_PERMIT_LIFETIME_MS,
+    ColdTargets,
+    HeardShare,
+)
 from .._decisions.request_limits import (
+    PERMIT_LIFETIME_MS,
     HeldPermits,
     PermitIssuer,
     RequestLimits,
@@ -23,6 +30,9 @@
 
 QUESTION_LIFETIME_MS = 1000.0  # A later answer counts as lost.
 QUESTIONS_LIMIT_COUNT = 256
+# A process that has just started may issue permits of cold targets that another one
+# issues as well. It hears the others within two intervals of their notices.
+LISTEN_MS = 2000.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -35,13 +45,19 @@
 class Permits:
     """Asks for permits, holds them, and issues those of some targets.
 
+    Args:
+        cold: The ``ColdTargets``.
+
     Attributes:
         limits: The ``RequestLimits``.
         listeners: Functions that are called when a permit was issued or denied.
     """
 
-    def __init__(self, *, clock):
+    def __init__(self, *, clock, cold=None):
         self._clock = clock
+        self.cold = cold or ColdTargets()
+        self._heard_share = HeardShare()
+        self._listen_until_ms = float("-inf")
         self.limits = RequestLimits()
         self.listeners = []
         self._rng = random.Random()
@@ -53,42 +69,69 @@
         self._send = lambda ip, notice: None
         self._active_ips = tuple
 
-    def connect(self, *, own_ip, active_ips, send):
+    def connect(self, *, own_ip, active_ips, send, seed_ips=()):
         """Issue permits together with other gateways.
 
         Args:
             own_ip: Address of this gateway.
             active_ips: Returns the addresses of the other active gateways.
             send: Sends a notice to a gateway, given its address and the notice.
+            seed_ips: Addresses of other gateways that should exist.
         """
+        if seed_ips:
+            now_ms = self._clock.now_ms()
+            self._listen_until_ms = now_ms + LISTEN_MS
+            self._heard_share = HeardShare(expected=seed_ips, now_ms=now_ms)
         self._own_ip = own_ip
         self._active_ips = active_ips
         self._send = send
 
+    @property
+    def has_limits(self):
+        """Return whether any target may have a limit; quick, never wrongly false."""
+        if len(self.limits):
+            return True
+        if not self.cold.is_configured:
+            return False
+        return self.cold.may_apply(now_ms=self._clock.now_ms())
+
+    def is_limited_as_cold(self, target):
+        """Return whether a target needs permits because it is cold."""
+        now_ms = self._clock.now_ms()
+        return self.cold.per_second(target, now_ms=now_ms) is not None
+
+    def _per_second(self, target, now_ms):
+        """Return the limit of a target: the lower of two; ``None`` for none."""
+        named = self.limits.per_second(target, now_ms=now_ms)
+        cold = self.cold.per_second(target, now_ms=now_ms)
+        if named is None or cold is None:
+            return cold if named is None else named
+        return min(named, cold)
+
     def may_send(self, target):
         """Return whether a target may get a request now.
 
         Args:
             target: Its name and incarnation.
         """
-        if not len(self.limits):
+        if not self.has_limits:
             return True
         now_ms = self._clock.now_ms()
-        if self.limits.per_second(target, now_ms=now_ms) is None:
+        if self._per_second(target, now_ms) is None:
             return True
         return self._held.has(target, now_ms=now_ms)
 
     def use(self, target):
         """Use up the permit for a request to a target, if it has a limit."""
-        if len(self.limits):
+        if self.has_limits:
             self._held.use(target, now_ms=self._clock.now_ms())
 
     def wait_ms(self, target):
         """Return for how long a target surely gets no request because of its limit."""
-        if not len(self.limits):
+        if not self.has_limits:
             return 0.0
         now_ms = self._clock.now_ms()
-        if self.limits.per_second(target, now_ms=now_ms) is None:
+        if self._per_second(target, now_ms) is None:
             return 0.0
         return self._held.wait_ms(target, now_ms=now_ms)
 
@@ -96,19 +139,20 @@
         """Ask for permits for some of these targets, which all have limits."""
         now_ms = self._clock.now_ms()
         for target in self._held.wanted(targets, now_ms=now_ms, rng=self._rng):
-            per_second = self.limits.per_second(target, now_ms=now_ms)
+            per_second = self._per_second(target, now_ms)
             if per_second is None:
                 continue
             issuer_ip = issuer_of(target, [self._own_ip, *self._active_ips()])
             if issuer_ip == self._own_ip:
-                self._take(target, self._issue(target, per_second))
+                wait_ms = self._issue(target, per_second)
+                self._take(target, wait_ms, asked_ms=now_ms)
             else:
                 self._ask(issuer_ip, target, per_second)
 
     def expected_per_second(self, targets):
         """Return how many permits a second this gateway can expect for some targets."""
         now_ms = self._clock.now_ms()
-        limits = [self.limits.per_second(target, now_ms=now_ms) for target in targets]
+        limits = [self._per_second(target, now_ms) for target in targets]
         per_second = sum(limit for limit in limits if limit)
         return per_second / (1 + len(self._active_ips()))
 
@@ -127,7 +171,8 @@
         )
 
     def forget_ended(self):
-        """Forget what is over."""
+        """Forget what is over, and note which gateways are heard."""
+        self._heard_share.update(self._active_ips(), now_ms=self._clock.now_ms())
         self._held.forget_ended(now_ms=self._clock.now_ms())
 
     def on_ask(self, ip, notice):
@@ -146,25 +191,51 @@
             log.warn("unasked permit ignored", extra={"peer": ip})
             return
         if self._clock.now_ms() - question.asked_ms < QUESTION_LIFETIME_MS:
-            self._take(question.target, notice.wait_ms)
+            self._take(question.target, notice.wait_ms, asked_ms=question.asked_ms)
             for listener in self.listeners:
                 listener()
 
     def _issue(self, target, asked_per_second):
         """Return 0 for a permit, or the time until the next one in milliseconds."""
         now_ms = self._clock.now_ms()
-        per_second = self.limits.per_second(target, now_ms=now_ms)
+        per_second = self._per_second(target, now_ms)
         # A limit that was lowered may have been heard of by the other gateway only.
         if per_second is None or asked_per_second < per_second:
             per_second = asked_per_second
-        return self._issuer.issue(target, per_second=per_second, now_ms=now_ms)
+        if not self._is_cold_rate(target, per_second, now_ms):
+            return self._issuer.issue(target, per_second=per_second, now_ms=now_ms)
+        if now_ms < self._listen_until_ms:
+            return self._listen_until_ms - now_ms
+        share = self._heard_share.update(self._active_ips(), now_ms=now_ms)
+        return self._issuer.issue(
+            target,
+            per_second=per_second * share,
+            now_ms=now_ms,
+            burst_ms=COLD_BURST_MS,
+        )
 
-    def _take(self, target, wait_ms):
+    def _is_cold_rate(self, target, per_second, now_ms):
+        """Return whether a rate is that of a cold target, not one that it named.
+
+        The other gateway may have heard first that the target is cold.
+        """
+        if not self.cold.is_configured:
+            return False
+        if self.cold.per_second(target, now_ms=now_ms) is not None:
+            return True
+        named = self.limits.per_second(target, now_ms=now_ms)
+        return named is None or per_second < named
+
+    def _take(self, target, wait_ms, *, asked_ms):
         now_ms = self._clock.now_ms()
         if wait_ms:
             self._held.deny(target, wait_ms=wait_ms, now_ms=now_ms)
-        else:
-            self._held.add(target, now_ms=now_ms)
+            return
+        lifetime_ms = PERMIT_LIFETIME_MS
+        if self.is_limited_as_cold(target):
+            # Counts from the question, as the answer may have taken long.
+            lifetime_ms = COLD_PERMIT_LIFETIME_MS - (now_ms - asked_ms)
+        self._held.add(target, now_ms=now_ms, lifetime_ms=lifetime_ms)
 
     def _ask(self, ip, target, per_second):
         nonce, now_ms = new_nonce(), self._clock.now_ms()
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -91,6 +91,7 @@
             name: service.connections_limit_count
             for name, service in configuration.services.items()
         }
+        self._target_pool.cold_tracking.configure(configuration.services)
         log.info(
             "configuration applied",
             extra={
@@ -146,6 +147,10 @@
             log.warn("evacuation of a data centre began", extra={"data_centre": name})
         for name in sorted(ended):
             log.info("evacuation of a data centre ended", extra={"data_centre": name})
+        for target in self._target_pool:
+            if target.listing.data_centre in ended:
+                # Its caches are empty, as it had no traffic.
+                self._target_pool.cold_tracking.record_start(target, reason="evacuated")
         if begun or ended:
             self._target_pool.notify_listeners()
 
--- a/src/waxwinghold/_gateway/targets.py
+++ b/src/waxwinghold/_gateway/targets.py
@@ -5,6 +5,7 @@
 from .._decisions.connections import idle_limit_count
 from .._decisions.evacuations import Evacuations
 from .._decisions.target_signals import TargetSignals, credible_hints
+from .cold_tracking import ColdTracking
 from .permits import Permits
 from .tracked_target import TrackedTarget
 
@@ -25,6 +26,7 @@
         signals: The ``TargetSignals`` of all targets, also of those no longer listed.
         permits: The ``Permits`` for targets that have named a limit.
         evacuations: The ``Evacuations``.
+        cold_tracking: The ``ColdTracking`` of all targets.
     """
 
     def __init__(self, *, clock):
@@ -37,7 +39,8 @@
         self.connection_limits = {}
         self.signals = TargetSignals()
         self.evacuations = Evacuations()
-        self.permits = Permits(clock=clock)
+        self.cold_tracking = ColdTracking(clock=clock)
+        self.permits = Permits(clock=clock, cold=self.cold_tracking.cold)
         self.permits.listeners.append(self.notify_listeners)
         self._paces = {}
         self._group_positions = {}
@@ -72,6 +75,7 @@
         for target in self._targets.values():
             by_service.setdefault(target.listing.service, []).append(target)
         self._targets_by_service = by_service
+        self.cold_tracking.record_listings(self._targets.values())
         self._targets_by_address = {
             f"{target.listing.address[0]}:{target.listing.address[1]}": target
             for target in self._targets.values()
@@ -114,6 +118,9 @@
         if target is None:
             return
         now_ms = self._clock.now_ms()
+        self.cold_tracking.record_rank(
+            target, born_ms=notice.born_ms, sender_ip=sender_ip
+        )
         previous = target.rank_notice
         target.progress = self._progress.setdefault(notice.group, target.progress)
         if target.update_rank(notice, now_ms=now_ms):
--- a/src/waxwinghold/_gateway/tracked_target.py
+++ b/src/waxwinghold/_gateway/tracked_target.py
@@ -64,6 +64,7 @@
         last_notice_ms: When the state in ``rank_notice`` was current.
         progress: The ``GroupProgress`` of the target's group.
         answered_send_ms: When the latest request that it answered was sent.
+        agent_born_ms: The latest start time that its agent told.
     """
 
     def __init__(self, *, clock, listing, signals, permits, evacuations):
@@ -86,6 +87,7 @@
         self.last_notice_ms = 0.0
         self.progress = GroupProgress()
         self.answered_send_ms = float("-inf")
+        self.agent_born_ms = 0
 
     @property
     def incarnation(self):
@@ -151,6 +153,17 @@
         may_send = self._permits.may_send(self.incarnation)
         return may_send and self.is_usable_with_permit(now_ms=now_ms)
 
+    def is_cold(self, *, now_ms):
+        """Return whether the target is cold, see ``ColdTargets``."""
+        return self._permits.cold.left_ms(self.incarnation, now_ms=now_ms) > 0
+
+    def is_working(self, *, now_ms):
+        """Return whether the target is usable, or only waits for a permit as cold."""
+        if self.is_usable(now_ms=now_ms):
+            return True
+        is_limited = self._permits.is_limited_as_cold(self.incarnation)
+        return is_limited and self.is_usable_with_permit(now_ms=now_ms)
+
     def is_usable_with_permit(self, *, now_ms):
         """Return whether nothing but its limit keeps a request from the target."""
         if now_ms < self.avoid_until_ms or not self.accepts_requests(now_ms=now_ms):
--- a/src/waxwinghold/platform/entries.py
+++ b/src/waxwinghold/platform/entries.py
@@ -20,9 +20,12 @@
 )
 from .._gateway.notices import Count
 from .._settings import is_ip_port, split_ip_port
+from .cold_values import ColdValues
 
 log = logbook.Logger("entries")
 
+MS_PER_SECOND = 1000
+
 # The decoder raises ``RecursionError`` for values that are nested too deeply.
 UNREADABLE_ERRORS = (msgspec.MsgspecError, RecursionError)
 
@@ -67,6 +70,8 @@
     name: str
     max_conns: int = 0
     engine: _Engine | None = None
+    cold_s: msgspec.Raw = msgspec.Raw()
+    cold_per_s: msgspec.Raw = msgspec.Raw()
 
 
 class _Limits(_Entry):
@@ -97,10 +102,12 @@
     state: str
     slots: int = 1
     born: int = 0
+    cold_left_ms: msgspec.Raw = msgspec.Raw()
 
 
 _configuration_decoder = msgspec.json.Decoder(_Configuration)
 _worker_decoder = msgspec.json.Decoder(_Worker)
+_cold_values = ColdValues()
 
 
 def read_configuration(data):
@@ -126,12 +133,13 @@
         return None
 
 
-def read_target(name, data):
+def read_target(name, data, *, written=0):
     """Return the ``Target`` of a worker's entry.
 
     Args:
         name: The worker's id, from the item's key.
         data: The item's value, as bytes.
+        written: The item's revision.
 
     Returns:
         The target, or ``None`` if the value cannot be decoded.
@@ -150,6 +158,10 @@
             slots_count=worker.slots,
             state=_STATES[worker.state],
             born_ms=worker.born,
+            cold_left_ms=_cold_values.read(
+                worker.cold_left_ms, field="cold-left-ms", owner=name
+            ),
+            written=written,
         )
     except (*UNREADABLE_ERRORS, KeyError, ValueError) as error:
         log.warn(
@@ -180,10 +192,16 @@
 
 
 def _service(service):
+    cold_s = _cold_values.read(service.cold_s, field="cold-s", owner=service.name)
+    cold_per_second = _cold_values.read(
+        service.cold_per_s, field="cold-per-s", owner=service.name
+    )
     return Service(
         name=service.name,
         connections_limit_count=service.max_conns,
         grouped=service.engine is not None and service.engine.sets > 0,
+        cold_ms=cold_s * MS_PER_SECOND,
+        cold_per_second=cold_per_second,
     )
 
 
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -371,7 +371,9 @@
     def _apply_target(self, item):
         name = item.key.removeprefix(TARGETS_PREFIX)
         data = _value(item)
-        target = read_target(name, data) if data is not None else None
+        target = None
+        if data is not None:
+            target = read_target(name, data, written=item.revision)
         if target is None:
             self._targets.pop(name, None)
         else:
--- a/tests/test_decisions_request_limits.py
+++ b/tests/test_decisions_request_limits.py
@@ -104,6 +104,8 @@
         requests_ms: When each target got its requests.
     """
 
+    gateway_type = _Gateway
+
     def __init__(self, *, gateways_count, targets, seed=1):
         self.rng = random.Random(seed)
         self.clock = FakeClock()
@@ -114,7 +116,7 @@
         self.gateways = {}
         for number in range(gateways_count):
             ip = f"10.0.0.{number}"
-            self.gateways[ip] = _Gateway(self, ip)
+            self.gateways[ip] = self.gateway_type(self, ip)
         self.rejected_count = 0
         for ip in self.gateways:
             self.after(
--- a/tests/test_gateway_evacuations.py
+++ b/tests/test_gateway_evacuations.py
@@ -284,7 +284,7 @@
     async def test_a_running_request_is_finished(self):
         fixture = GatewayFixture(behaviours=("stream",))
         await self.enterAsyncContext(fixture.open())
-        fixture.workers[0].event_gap_s = 0.1
+        fixture.workers[0].event_ms = 100.0
         task = asyncio.create_task(fixture.call("/stream/a", method="POST"))
         async with asyncio.timeout(3):
             while not fixture.workers[0].requests:
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -55,6 +55,51 @@
                 self.assertTrue(self.logs.records)
 
 
+class ColdTests(EntriesCase):
+    UNUSABLE = ("-1", "true", "null", '"3"', "[1]", "1e999", "-0.5", "{}")
+
+    def read_target(self, text, *, name):
+        entry = worker_entry(service="models", address=("10.0.0.1", 80))
+        del entry["cold-left-ms"]
+        data = json.dumps(entry)[:-1] + f', "cold-left-ms": {text}}}'
+        return read_target(name, data.encode(), written=9)
+
+    def read_services(self, **texts):
+        fields = "".join(
+            f', "{name.replace("_", "-")}": {text}' for name, text in texts.items()
+        )
+        data = f'{{"version": 1, "routes": [], "services": [{{"name": "s"{fields}}}]}}'
+        return read_configuration(data.encode()).services["s"]
+
+    def test_cold_times_and_rates_are_decoded(self):
+        service = self.read_services(cold_s="8", cold_per_s="26.5")
+        self.assertEqual((service.cold_ms, service.cold_per_second), (8000.0, 26.5))
+        service = self.read_services()
+        self.assertEqual((service.cold_ms, service.cold_per_second), (0.0, 0.0))
+        target = self.read_target("1500", name="i-1")
+        self.assertEqual((target.cold_left_ms, target.written), (1500.0, 9))
+
+    def test_an_unusable_value_of_a_target_is_logged_once_and_changes_nothing(self):
+        for number, text in enumerate(self.UNUSABLE):
+            with self.subTest(text=text):
+                self.logs.records.clear()
+                for _ in range(3):
+                    target = self.read_target(text, name=f"unusable-{number}")
+                    self.assertEqual(target.cold_left_ms, 0.0)
+                    self.assertEqual(target.address, ("10.0.0.1", 80))
+                self.assertEqual(len(self.logs.records), 1)
+
+    def test_an_unusable_value_of_a_service_does_not_affect_the_configuration(self):
+        for text in self.UNUSABLE:
+            with self.subTest(text=text):
+                self.read_services(cold_per_s="1")  # A usable value ends the silence.
+                self.logs.records.clear()
+                service = self.read_services(cold_s="8", cold_per_s=text)
+                self.assertEqual(service.cold_per_second, 0.0)
+                self.assertEqual(service.cold_ms, 8000.0)
+                self.assertEqual(len(self.logs.records), 1)
+
+
 class ConfigurationTests(EntriesCase):
     def document(self, **fields):
         routes = [
--- a/tests/test_platform_names.py
+++ b/tests/test_platform_names.py
@@ -8,7 +8,8 @@
 NAMES = re.compile(
     r"(?<![\w-])(Attempt-Id|Expect-Instance|Server-Seal|Not-Executed|Server-Load|"
     r"Credential|Token-Count|Prompt-Prefix|Deadline-Ms|At-Server|Instance-Id|"
-    r"kv-range|kv-watch|kv-key|op/config|op/evacuate|route-kind|heartbeat-ms)(?![\w-])|"
+    r"kv-range|kv-watch|kv-key|op/config|op/evacuate|route-kind|heartbeat-ms|"
+    r"cold-left-ms|cold-per-s|cold-s)(?![\w-])|"
     r"/v1/(order|picked|report|kv)",
     re.IGNORECASE,
 )
