Keep slots for more urgent requests across all gateways

Change: gateways tell each other their arrivals by priority in an optional field of GatewayNotice; while less than a quarter of the slots is free, a request leaves what more urgent ones need within 0.3 s. Each priority earns a tenth of the slots that become free. Requests that may not start no longer block others behind them. The expected wait and the Retry-After follow from the starts of the same or less urgent priorities. The stub of has_free_slot in test_gateway_joined_sends takes the new argument.

Tested: tests.test_decisions_urgency, test_gateway_line, test_gateway_joined_sends, test_gateway_exchange, test_fuzz_datagrams (GatewayTests).

--- a/src/waxwinghold/_decisions/waiting.py
+++ b/src/waxwinghold/_decisions/waiting.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 
 from .._registry import Registry
+from .urgency import PRIORITY_MAX, Urgency
 
 RATE_WINDOW_MS = 2000.0  # Long enough for several completed requests of one gateway.
 RETRY_AFTER_BASE_MS = 300.0  # About the time in which some slots become free.
@@ -115,6 +116,11 @@
         self._running_count = 0
         self._held_ms = 0.0
 
+    @property
+    def held_ms(self):
+        """Return the mean time in a slot; 0 before the first one."""
+        return self._held_ms
+
     def record_arrival(self, *, now_ms):
         """Record a request whose caller asks for the first time."""
         self._arrivals_ms.append(now_ms)
@@ -221,11 +227,20 @@
 
 @queue_policy("first_come")
 class FirstCome:
-    """Serves in order of arrival and rejects no request early; the naive policy."""
+    """Serves in order of arrival and rejects no request early; the naive policy.
+
+    Attributes:
+        knows_priorities: Whether a request may start while less urgent ones wait.
+    """
+
+    knows_priorities = False
 
-    def __init__(self, *, gateways_count=None, rng=None):
+    def __init__(self, *, gateways_count=None, peer_steps=None, rng=None):
         self.rate = DepartureRate()
         self.demand = FreshDemand(gateways_count=gateways_count or (lambda: 1))
+        self.urgency = Urgency(
+            gateways_count=gateways_count, peer_steps=peer_steps, rng=rng
+        )
 
     def sort_key(self, request, *, now_ms):
         """Return the sort key of a queued request; the lowest is served first."""
@@ -235,11 +250,15 @@
         """Return whether the request may use a free slot now."""
         return True
 
+    def is_due(self, request, *, state, now_ms):
+        """Return whether the request is served before all that are not due."""
+        return False
+
     def admits(self, request, *, ahead_count, state, now_ms):
         """Return whether the request may be queued."""
         return True
 
-    def retry_after_ms(self, *, waiting_count, state, left_ms, now_ms):
+    def retry_after_ms(self, *, waiting_count, state, left_ms, now_ms, priority=0):
         """Return after how many milliseconds a rejected caller should retry."""
         return RETRY_AFTER_BASE_MS
 
@@ -254,11 +273,25 @@
 
     A group that makes no step although it is open goes on soon, so that requests wait
     for it. While a service is closed, only callers that cannot retry later wait.
+
+    Args:
+        gateways_count: Returns how many gateways send to the same targets.
+        peer_steps: See ``Urgency``.
+        rng: Spreads the times at which rejected callers retry.
+
+    Attributes:
+        knows_priorities: Whether a request may start while less urgent ones wait.
     """
 
-    def __init__(self, *, gateways_count=None, rng=None):
+    knows_priorities = True
+
+    def __init__(self, *, gateways_count=None, peer_steps=None, rng=None):
         self.rate = DepartureRate()
         self.demand = FreshDemand(gateways_count=gateways_count or (lambda: 1))
+        self.urgency = Urgency(
+            gateways_count=gateways_count, peer_steps=peer_steps, rng=rng
+        )
+        self._gateways_count = gateways_count or (lambda: 1)
         self._rng = rng or random.Random()
 
     def sort_key(self, request, *, now_ms):
@@ -280,47 +313,96 @@
         """Return whether the request may use a free slot now.
 
         A late answer earns less than one on time. While few slots are free, each slot
-        for a late request would make the next requests late as well.
+        for a late request would make the next requests late as well. The same holds for
+        a request that is less urgent than others that are about to arrive.
         """
+        leaves_enough = self.urgency.leaves_enough(
+            request.priority, state=state, now_ms=now_ms
+        )
         if now_ms <= request.start_until_ms:
-            return True
+            return leaves_enough or self.is_due(request, state=state, now_ms=now_ms)
         needed_ratio = self.demand.needed_ratio(
             slots_count=state.slots_count, now_ms=now_ms
         )
         reserved_ratio = min(
             LATE_FREE_MAX_RATIO, max(LATE_FREE_MIN_RATIO, needed_ratio)
         )
-        return state.free_ratio >= reserved_ratio
+        return leaves_enough and state.free_ratio >= reserved_ratio
+
+    def is_due(self, request, *, state, now_ms):
+        """Return whether the request is served before all that are not due.
+
+        It is if it is on time and its priority got less than the share of the slots
+        that each priority gets under any load.
+        """
+        if now_ms > request.start_until_ms:
+            return False
+        return self._earned_starts(request.priority, state, now_ms) >= 1.0
+
+    def _is_next(self, request, state, now_ms):
+        """Return whether a request of several priorities waits for its turn only."""
+        if not self.urgency.has_several(now_ms=now_ms):
+            return False
+        reserved_ratio = self.urgency.reserved_ratio(
+            request.priority, state=state, now_ms=now_ms
+        )
+        return state.free_ratio >= reserved_ratio or self.is_due(
+            request, state=state, now_ms=now_ms
+        )
+
+    def _earned_starts(self, priority, state, now_ms):
+        return self.urgency.earned_starts(
+            priority,
+            state=state,
+            departures_per_ms=self.rate.per_ms(now_ms=now_ms),
+            held_ms=self.demand.held_ms,
+            now_ms=now_ms,
+        )
+
+    def _rate_per_ms(self, priority, state, now_ms):
+        """Return how many slots requests of ``priority`` can get per millisecond."""
+        share = self.urgency.start_share(priority, now_ms=now_ms)
+        rate = self.rate.per_ms(now_ms=now_ms)
+        if self.demand.held_ms and self.urgency.has_several(now_ms=now_ms):
+            # One gateway of many sees too few departures for a rate by priority.
+            busy_count = state.slots_count * (1 - max(0.0, state.free_ratio))
+            all_rate = busy_count / self.demand.held_ms
+            rate = max(rate, all_rate / self._gateways_count())
+        return rate * share
 
     def admits(self, request, *, ahead_count, state, now_ms):
         """Return whether the request is likely to get a slot in time.
 
         Args:
-            ahead_count: Queued requests that are served before it.
+            ahead_count: Queued requests of its own or a less urgent priority that are
+                served before it.
             state: The ``ServiceState``.
         """
         if state.closed:
             return request.last_chance
         if state.stalled:
             return True
-        rate = self.rate.per_ms(now_ms=now_ms)
+        rate = self._rate_per_ms(request.priority, state, now_ms)
         if not rate:
             return ahead_count == 0
+        if not ahead_count and self._is_next(request, state, now_ms):
+            return True
         expected_ms = (ahead_count + 1) / rate
         return now_ms + expected_ms <= request.queue_deadline_ms
 
-    def retry_after_ms(self, *, waiting_count, state, left_ms, now_ms):
+    def retry_after_ms(self, *, waiting_count, state, left_ms, now_ms, priority=0):
         """Return after how many milliseconds a rejected caller is likely to get a slot.
 
         Args:
-            waiting_count: Requests in the queue.
+            waiting_count: Requests of the caller's priority in the queue.
             state: The ``ServiceState``.
             left_ms: Time that the caller still has.
+            priority: The caller's priority.
         """
         limit_ms = RETRY_AFTER_SHARE * left_ms
         if state.closed or state.stalled:
             return limit_ms * self._rng.uniform(CLOSED_RETRY_AFTER_MIN_SHARE, 1.0)
-        rate = self.rate.per_ms(now_ms=now_ms)
+        rate = self._rate_per_ms(priority, state, now_ms)
         ahead_ms = (waiting_count + 1) / rate if rate else 0.0
         spread = self._rng.uniform(
             1 - RETRY_AFTER_SPREAD_RATIO, 1 + RETRY_AFTER_SPREAD_RATIO
@@ -382,20 +464,24 @@
             The ``Decision``.
         """
         state = self._state(now_ms)
-        if not entry.request.last_chance and not entry.tried:
+        request = entry.request
+        if not request.last_chance and not entry.tried:
             self._policy.demand.record_arrival(now_ms=now_ms)
-        if not self._entries and self._may_start(entry, state, now_ms):
+        if now_ms <= request.start_until_ms and not entry.tried:
+            self._policy.urgency.record_arrival(request.priority, now_ms=now_ms)
+        if self.is_first(request.priority) and self._may_start(entry, state, now_ms):
             target = self._choose(entry.tried, now_ms)
             if target is not None:
                 self._start(entry, now_ms)
                 return Decision(target=target)
-        key = self._policy.sort_key(entry.request, now_ms=now_ms)
+        key = self._policy.sort_key(request, now_ms=now_ms)
         ahead_count = sum(
             self._policy.sort_key(queued.request, now_ms=now_ms) <= key
             for queued in self._entries
+            if queued.request.priority >= request.priority
         )
         admitted = self._policy.admits(
-            entry.request, ahead_count=ahead_count, state=state, now_ms=now_ms
+            request, ahead_count=ahead_count, state=state, now_ms=now_ms
         )
         if admitted:
             self._entries.append(entry)
@@ -412,9 +498,15 @@
             key=lambda entry: self._policy.sort_key(entry.request, now_ms=now_ms)
         )
         state = self._state(now_ms)
-        for entry in list(self._entries):
+        refused = set()  # What is refused once stays so while slots become fewer.
+        for entry in self._in_order(state, now_ms):
+            request = entry.request
+            kind = (request.priority, now_ms > request.start_until_ms)
+            if kind in refused:
+                continue
             if not self._may_start(entry, state, now_ms):
-                return  # Late requests come last.
+                refused.add(kind)
+                continue
             target = self._choose(entry.tried, now_ms)
             if target is None:
                 if not entry.tried:
@@ -425,8 +517,29 @@
             state = state.with_one_slot_taken()
             yield entry, target
 
+    def is_first(self, priority):
+        """Return whether no request waits, or only less urgent ones."""
+        if not self._policy.knows_priorities:
+            return not self._entries
+        return all(entry.request.priority > priority for entry in self._entries)
+
+    def _in_order(self, state, now_ms):
+        """Return the sorted entries, after one of each priority that is due."""
+        first = {}
+        for entry in self._entries:
+            first.setdefault(entry.request.priority, entry)
+        if len(first) < 2:
+            return list(self._entries)
+        due = [
+            entry
+            for entry in first.values()
+            if self._policy.is_due(entry.request, state=state, now_ms=now_ms)
+        ]
+        return due + [entry for entry in self._entries if entry not in due]
+
     def _start(self, entry, now_ms):
         entry.started_ms = now_ms
+        self._policy.urgency.record_start(entry.request.priority, now_ms=now_ms)
         entry.is_late = now_ms > entry.request.start_until_ms
         if not entry.is_late:
             self._policy.demand.record_start()
@@ -450,19 +563,37 @@
     def record_departure(self, entry, *, now_ms):
         """Record that a request of this gateway released its slot."""
         self._policy.rate.record(now_ms=now_ms)
+        self._policy.urgency.record_departure(entry.request.priority)
         if not entry.is_late:
             held_ms = now_ms - entry.started_ms
             self._policy.demand.record_departure(held_ms=held_ms)
 
-    def retry_after_ms(self, *, left_ms, now_ms):
+    def retry_after_ms(self, *, left_ms, now_ms, priority=0):
         """Return after how many milliseconds a caller rejected now should retry.
 
         Args:
             left_ms: Time that the caller still has.
+            priority: The caller's priority.
         """
+        waiting_count = sum(
+            entry.request.priority >= priority for entry in self._entries
+        )
         return self._policy.retry_after_ms(
-            waiting_count=len(self._entries),
+            waiting_count=waiting_count,
             state=self._state(now_ms),
             left_ms=left_ms,
             now_ms=now_ms,
+            priority=priority,
+        )
+
+    def published_steps(self, *, now_ms):
+        """Return the steps of the arrivals here, for the other gateways."""
+        return self._policy.urgency.published_steps(
+            state=self._state(now_ms), now_ms=now_ms
+        )
+
+    def reserved_ratio(self, *, now_ms):
+        """Return the share of the slots that the least urgent requests leave free."""
+        return self._policy.urgency.reserved_ratio(
+            PRIORITY_MAX, state=self._state(now_ms), now_ms=now_ms
         )
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -112,10 +112,12 @@
                 raise self._no_free_slot(reason, request) from None
             raise
 
-    def has_free_slot(self, *, tried):
+    def has_free_slot(self, *, tried, priority=0):
         """Return whether a new request would get a slot outside ``tried`` at once."""
         now_ms = self._clock.now_ms()
-        return not self._line and self._choose_target(tried, now_ms) is not None
+        if not self._line.is_first(priority):
+            return False
+        return self._choose_target(tried, now_ms) is not None
 
     def release(self, slot):
         """Free the ``Slot`` that ``acquire`` returned."""
@@ -123,14 +125,25 @@
         self._line.record_departure(slot, now_ms=self._clock.now_ms())
         self._target_pool.notify_listeners()
 
-    def retry_after_ms(self, *, end_ms):
+    def retry_after_ms(self, *, end_ms, priority=0):
         """Return after how many milliseconds a caller rejected now should retry.
 
         Args:
             end_ms: When the caller or the route ends the request.
+            priority: The priority of the request.
         """
         now_ms = self._clock.now_ms()
-        return self._line.retry_after_ms(left_ms=end_ms - now_ms, now_ms=now_ms)
+        return self._line.retry_after_ms(
+            left_ms=end_ms - now_ms, now_ms=now_ms, priority=priority
+        )
+
+    def arrival_steps(self):
+        """Return the steps of the arrival rates for the other gateways."""
+        return self._line.published_steps(now_ms=self._clock.now_ms())
+
+    def reserved_ratio(self):
+        """Return the share of the slots that the least urgent requests leave free."""
+        return self._line.reserved_ratio(now_ms=self._clock.now_ms())
 
     def serve_queued(self):
         """Give free slots to the queued requests, in the order of the policy."""
@@ -233,7 +246,9 @@
         )
 
     def _no_free_slot(self, reason, request):
-        retry_after_ms = self.retry_after_ms(end_ms=request.end_ms)
+        retry_after_ms = self.retry_after_ms(
+            end_ms=request.end_ms, priority=request.priority
+        )
         return NoFreeSlotError(reason, retry_after_ms=retry_after_ms)
 
     def _choose_target(self, tried, now_ms):
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -267,7 +267,7 @@
             progress=self._progress,
             has_another=self._ran_count + 1 < self._route.attempts_limit_count,
             has_slot_elsewhere=lambda: self._admission_queue.has_free_slot(
-                tried=self._tried
+                tried=self._tried, priority=self._admitted.priority
             ),
             is_alone=lambda: len(self._running) == 1,
             on_stuck=lambda error: self._record_stuck(running, error),
@@ -389,7 +389,9 @@
             queue = self._admission_queue
             return NoFreeSlotError(
                 f"no target accepted the request: {failure}",
-                retry_after_ms=queue.retry_after_ms(end_ms=self._admitted.end_ms),
+                retry_after_ms=queue.retry_after_ms(
+                    end_ms=self._admitted.end_ms, priority=self._admitted.priority
+                ),
             )
         if self._gateway.suspects.is_blocked(
             self._admitted.content, now_ms=self._clock.now_ms()
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -17,7 +17,7 @@
 from .._verdict import Ran
 from .admission_queue import AdmissionQueue
 from .answer_sizes import answer_sizes
-from .attempts import Attempts
+from .attempts import REJECTIONS, Attempts
 from .caller_server import CallerServer
 from .errors import (
     CrashingRequestError,
@@ -97,7 +97,9 @@
             waiting_counts=self._waiting_counts,
             suspects=self.suspects,
             lost_version=lambda: self.published.lost_version,
+            arrival_steps=self._arrival_steps,
         )
+        self.metrics.gauge("reserved_slots_ratio", self._reserved_ratio)
         self.readers = StoreReaders(
             clock=clock,
             published=self.published,
@@ -156,7 +158,9 @@
                     ),
                 ),
                 admission_policy=queue_policy.make(
-                    "on_time_first", gateways_count=lambda: self.peers.gateways_count
+                    "on_time_first",
+                    gateways_count=lambda: self.peers.gateways_count,
+                    peer_steps=lambda: self.peers.peer_steps(service),
                 ),
             )
             self._admission_queues[service] = queue
@@ -204,6 +208,9 @@
             # The caller gets the target's whole answer.
             self._record_time(admitted, started_ms)
             raise
+        except REJECTIONS:
+            self.metrics.count("rejections", label=f"priority_{admitted.priority}")
+            raise
         except SendError:
             self.metrics.count("broken", label=admitted.route.kind.value)
             raise
@@ -392,6 +399,19 @@
             if queue.waiting_count
         }
 
+    def _arrival_steps(self):
+        """Return the steps of the arrival rates here, by service and priority."""
+        steps_by_service = {
+            service: queue.arrival_steps()
+            for service, queue in self._admission_queues.items()
+        }
+        return {service: steps for service, steps in steps_by_service.items() if steps}
+
+    def _reserved_ratio(self):
+        """Return the highest share of a service's slots kept for urgent requests."""
+        queues = self._admission_queues.values()
+        return max((queue.reserved_ratio() for queue in queues), default=0.0)
+
     def _begin_stop(self):
         log.info("stop requested", extra={"open": self._caller_server.open_count})
         self._stopping = True
--- a/src/waxwinghold/_gateway/notices.py
+++ b/src/waxwinghold/_gateway/notices.py
@@ -8,6 +8,8 @@
 
 import msgspec
 
+from .._decisions.urgency import PRIORITY_MAX, STEP_MAX_COUNT
+
 FORMAT = 5  # Receivers ignore notices of another format.
 LIMIT_BYTES = 60_000  # Size of one encoded notice.
 MEMBERS_LIMIT_COUNT = 16  # A sender names a few; each becomes a receiver for a while.
@@ -19,6 +21,14 @@
 Scale = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
 PerSecond = Annotated[float, msgspec.Meta(ge=0, le=1e6)]
 Age = Annotated[float, msgspec.Meta(ge=0, le=1e9)]
+# Arrivals at one gateway by priority, as the steps of ``_decisions.urgency``.
+ARRIVAL_SERVICES_LIMIT_COUNT = 64
+_Priority = Annotated[int, msgspec.Meta(ge=0, le=PRIORITY_MAX)]
+_Step = Annotated[int, msgspec.Meta(ge=0, le=STEP_MAX_COUNT)]
+Arrivals = Annotated[
+    dict[str, Annotated[dict[_Priority, _Step], msgspec.Meta(max_length=16)]],
+    msgspec.Meta(max_length=ARRIVAL_SERVICES_LIMIT_COUNT),
+]
 # Datagrams and connections go to these addresses. A name would be looked up, which
 # blocks the process, and some texts end the socket that is to send to them.
 Ip = Annotated[str, msgspec.Meta(pattern=rf"\A(?:{_IP})\Z")]
@@ -47,6 +57,8 @@
             may have lost it; 0 otherwise.
         limits_version: Version of what the sender knows about limits of targets; 0 if
             that is nothing.
+        arrivals: Steps of the arrival rates at the sender, by service and priority,
+            for services with scarce slots or several priorities.
     """
 
     format: int
@@ -61,6 +73,7 @@
     leaving: list[str] = []
     lost_version: Count = 0
     limits_version: Count = 0
+    arrivals: Arrivals = {}
 
 
 class RankNotice(msgspec.Struct, array_like=True, frozen=True, tag="rank"):
--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -15,6 +15,7 @@
 from .endpoint import NoticeEndpoint
 from .limit_exchange import LimitExchange
 from .notices import (
+    ARRIVAL_SERVICES_LIMIT_COUNT,
     FORMAT,
     LIMIT_BYTES,
     AskLimitsNotice,
@@ -64,6 +65,7 @@
         waiting_counts: Returns the number of queued requests by service.
         suspects: The ``CrashSuspects`` that the gateways share.
         lost_version: Returns the version in force here if the store may have lost it.
+        arrival_steps: Returns the steps of the arrival rates by service and priority.
 
     Attributes:
         handlers: Functions for all notices but ``GatewayNotice``, by class; called
@@ -80,6 +82,7 @@
         waiting_counts,
         suspects,
         lost_version,
+        arrival_steps=dict,
     ):
         super().__init__(ip=settings.peers_ip, port=settings.peers_port)
         self._clock = clock
@@ -88,6 +91,7 @@
         self._waiting_counts = waiting_counts
         self._suspects = suspects
         self._lost_version = lost_version
+        self._arrival_steps = arrival_steps
         self._suspect_exchange = SuspectExchange(
             clock=clock, suspects=suspects, target_pool=target_pool, send=self.send
         )
@@ -181,6 +185,20 @@
             if peer.notice is not None
         )
 
+    def peer_steps(self, service):
+        """Return the steps of arrival rates by priority, for each active gateway."""
+        return [
+            peer.notice.arrivals[service]
+            for peer in self._peers.values()
+            if peer.notice is not None and service in peer.notice.arrivals
+        ]
+
+    def _limited_arrival_steps(self):
+        """Return the steps to send; receivers drop notices of too many services."""
+        steps = self._arrival_steps()
+        names = sorted(steps)[:ARRIVAL_SERVICES_LIMIT_COUNT]
+        return {name: steps[name] for name in names}
+
     async def run(self):
         """Send and receive notices until cancelled."""
         await self.open_endpoint()
@@ -256,6 +274,7 @@
             self._target_pool.signals.told_leaving(now_ms=now_ms),
             self._lost_version(),
             self._limit_exchange.version(),
+            self._limited_arrival_steps(),
         )
         self._quiet_rounds_count += 1
         if (
@@ -280,6 +299,7 @@
             leaving=state[3],
             lost_version=state[4],
             limits_version=state[5],
+            arrivals=state[6],
         )
         data = encoder.encode(notice)
         if len(data) > LIMIT_BYTES:
--- a/src/waxwinghold_bench/decision_replay/__init__.py
+++ b/src/waxwinghold_bench/decision_replay/__init__.py
@@ -7,7 +7,7 @@
 
 from .bound import best_credit
 from .credit import Credit
-from .patterns import Pattern, arrivals, patterns
+from .patterns import Pattern, arrivals, patterns, patterns_without_burst
 from .world import NAIVE, OURS, Policies, replay
 
 __all__ = [
@@ -19,5 +19,6 @@
     "arrivals",
     "best_credit",
     "patterns",
+    "patterns_without_burst",
     "replay",
 ]
--- a/src/waxwinghold_bench/decision_replay/bound.py
+++ b/src/waxwinghold_bench/decision_replay/bound.py
@@ -22,7 +22,6 @@
     DEADLINE_MS,
     FIRST_EVENT_MS,
     GAP_MS,
-    GOAL_MS,
     HONOURED_SHARE,
 )
 
@@ -55,11 +54,12 @@
     """
     capacity = _capacity(pattern)
     counts = Counter(
-        (int(arrival.at_ms / BUCKET_MS), arrival.size_ms) for arrival in found
+        (int(arrival.at_ms / BUCKET_MS), arrival.size_ms, arrival.goal_ms)
+        for arrival in found
     )
     program = _Program(capacity)
-    for (bucket, size_ms), count in sorted(counts.items()):
-        program.add(bucket, size_ms, count)
+    for (bucket, size_ms, goal_ms), count in sorted(counts.items()):
+        program.add(bucket, size_ms, goal_ms, count)
     return program.solve()
 
 
@@ -89,8 +89,8 @@
         self._uses, self._owners, self._counts = [], [], []
         self._asked = np.zeros(WINDOWS_COUNT)
 
-    def add(self, bucket, size_ms, count):
-        """Add ``count`` requests of a size that arrive in a bucket."""
+    def add(self, bucket, size_ms, goal_ms, count):
+        """Add ``count`` requests of a size and goal that arrive in a bucket."""
         owner, number = len(self._counts), window(bucket * BUCKET_MS)
         self._counts.append(count)
         self._asked[number] += count * worth(size_ms)
@@ -106,7 +106,7 @@
             used_buckets = self._open[first : first + len(parts_ms)]
             if self._has_break(used_buckets):
                 continue
-            on_time = start * BUCKET_MS + FIRST_EVENT_MS <= arrives_ms + GOAL_MS
+            on_time = start * BUCKET_MS + FIRST_EVENT_MS <= arrives_ms + goal_ms
             credit = ON_TIME_CREDIT if on_time else LATE_CREDIT
             column = len(self._gains)
             self._gains.append(credit * worth(size_ms))
--- a/src/waxwinghold_bench/decision_replay/credit.py
+++ b/src/waxwinghold_bench/decision_replay/credit.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .patterns import LENGTH_MS, MEAN_SIZE_MS
+from .patterns import BURST_END_MS, BURST_START_MS, LENGTH_MS, MEAN_SIZE_MS
 
 ON_TIME_CREDIT = 1.0
 LATE_CREDIT = 0.5
@@ -62,3 +62,19 @@
     def score(self):
         """Return the weighted mean of ``whole`` and ``worst``."""
         return (1 - WORST_WEIGHT) * self.whole + WORST_WEIGHT * self.worst
+
+
+def credit_of_kind(outcomes, *, priority):
+    """Return the earned part of what one kind asked for while the burst lasts.
+
+    Args:
+        outcomes: ``(arrival, share)`` pairs.
+        priority: That of the kind.
+    """
+    asked = earned = 0.0
+    for arrival, share in outcomes:
+        is_within = BURST_START_MS <= arrival.at_ms < BURST_END_MS
+        if arrival.priority == priority and is_within:
+            asked += worth(arrival.size_ms)
+            earned += share * worth(arrival.size_ms)
+    return earned / asked
--- a/src/waxwinghold_bench/decision_replay/world.py
+++ b/src/waxwinghold_bench/decision_replay/world.py
@@ -22,13 +22,13 @@
 from waxwinghold._gateway.targets import TargetPool
 
 from .credit import LATE_CREDIT, ON_TIME_CREDIT
-from .patterns import DATA_CENTRES, GATEWAYS_COUNT, LENGTH_MS, SLOTS_COUNT
+from .patterns import DATA_CENTRES, LENGTH_MS, SLOTS_COUNT
 from .patterns import TARGETS_COUNT as TARGETS
 
 TICK_MS = 10.0
 NOTICE_INTERVAL_MS = 100.0
-# The users' callers of streams, rounded.
-GOAL_MS = 400.0
+NOTICE_INTERVAL_PER_GATEWAY_MS = 8.0
+SILENCE_INTERVALS_COUNT = 16
 DEADLINE_MS = 8000.0
 GAP_MS = 2000.0
 ATTEMPTS_LIMIT_COUNT = 2
@@ -124,24 +124,31 @@
 class _SimulatedGateway:
     """One gateway: the product's records and decisions, without any process."""
 
-    def __init__(self, *, clock, number, policies, rng):
+    def __init__(self, *, clock, number, policies, rng, world):
         self.data_centre = DATA_CENTRES[number % len(DATA_CENTRES)]
         self.number = number
         self.pool = TargetPool(clock=clock)
         self._policies = policies
-        turns = Turns(position=lambda: number, count=lambda: GATEWAYS_COUNT)
+        self.is_lost = False
+        self.lost_ms = float("-inf")
+        self.published_steps = {}
+        count = world.gateways_count
+        turns = Turns(position=lambda: number, count=count)
         choice = target_policy.make(
             policies.target,
             data_centre=self.data_centre,
             pace=self.pool.group_pace,
             relative_pace=self.pool.relative_pace,
-            gateways_count=lambda: GATEWAYS_COUNT,
+            gateways_count=count,
             has_turn=lambda name: turns.has(name, wall_ms=clock.now_ms()),
             rng=rng,
         )
         self.line = WaitingLine(
             policy=queue_policy.make(
-                policies.queue, gateways_count=lambda: GATEWAYS_COUNT, rng=rng
+                policies.queue,
+                gateways_count=count,
+                peer_steps=lambda: world.peer_steps(number),
+                rng=rng,
             ),
             choose=lambda tried, now_ms: choice.choose(
                 self.pool.of_service(SERVICE), tried=tried, now_ms=now_ms
@@ -181,6 +188,11 @@
         self._sequence = 0
         self._calls = []
         self._next_notice_ms = 0.0
+        self._next_steps_ms = 0.0
+        self._interval_ms = max(
+            NOTICE_INTERVAL_MS,
+            NOTICE_INTERVAL_PER_GATEWAY_MS * pattern.gateways_count,
+        )
         self._up = False
 
     def run(self, found):
@@ -194,16 +206,43 @@
             self._clock.time_ms += TICK_MS
         return [(call.arrival, call.share) for call in self._calls]
 
+    def gateways_count(self):
+        """Return how many gateways the others take for active."""
+        return len(self._known_gateways())
+
+    def peer_steps(self, number):
+        """Return the steps that the other gateways have published."""
+        return [
+            gateway.published_steps
+            for gateway in self._known_gateways()
+            if gateway.number != number
+        ]
+
+    def _known_gateways(self):
+        silent_ms = SILENCE_INTERVALS_COUNT * self._interval_ms
+        return [
+            gateway
+            for gateway in self._gateways
+            if not gateway.is_lost or self._clock.time_ms - gateway.lost_ms <= silent_ms
+        ]
+
     def _schedule(self, at_ms, call):
         heapq.heappush(self._due, (at_ms, next(self._order), call))
 
     def _tick(self):
         now_ms = self._clock.time_ms
         self._switch_gateways(now_ms)
+        self._lose_gateways(now_ms)
         self._make_progress(now_ms)
         if now_ms >= self._next_notice_ms:
             self._next_notice_ms += NOTICE_INTERVAL_MS
             self._send_notices(now_ms)
+        if now_ms >= self._next_steps_ms:
+            self._next_steps_ms += self._interval_ms
+            for gateway in self._gateways:
+                if not gateway.is_lost:
+                    steps = gateway.line.published_steps(now_ms=now_ms)
+                    gateway.published_steps = steps
         while self._due and self._due[0][0] <= now_ms:
             self._attempt(heapq.heappop(self._due)[2], now_ms)
         for gateway in self._gateways:
@@ -220,13 +259,8 @@
         self._up = up
         if up:
             self._gateways = [
-                _SimulatedGateway(
-                    clock=self._clock,
-                    number=number,
-                    policies=self._policies,
-                    rng=random.Random(f"{self._policies.name} {number} {now_ms}"),
-                )
-                for number in range(GATEWAYS_COUNT)
+                self._new_gateway(number, now_ms)
+                for number in range(self._pattern.gateways_count)
             ]
             self._send_notices(now_ms)
             return
@@ -238,6 +272,34 @@
             if call.place != "away":
                 self._retry_caller(call, now_ms)
 
+    def _new_gateway(self, number, now_ms):
+        return _SimulatedGateway(
+            clock=self._clock,
+            number=number,
+            policies=self._policies,
+            rng=random.Random(f"{self._policies.name} {number} {now_ms}"),
+            world=self,
+        )
+
+    def _lose_gateways(self, now_ms):
+        """Kill gateways, and start lost ones again."""
+        for index, gateway in enumerate(self._gateways):
+            is_lost = self._pattern.is_lost(now_ms, gateway.number)
+            if is_lost == gateway.is_lost:
+                continue
+            if not is_lost:
+                self._gateways[index] = self._new_gateway(gateway.number, now_ms)
+                continue
+            gateway.is_lost, gateway.lost_ms = True, now_ms
+            gateway.waiting.clear()
+            for call in self._calls:
+                if call.gateway is gateway and call.place != "away":
+                    if call.place == "target":
+                        self._end_send(call, now_ms)
+                    self._retry_caller(call, now_ms)
+            for call in gateway.line.entries():
+                gateway.line.withdraw(call)
+
     def _make_progress(self, now_ms):
         pattern = self._pattern
         for target in self._targets:
@@ -342,10 +404,14 @@
             return
         place = self._pattern.moves_to(self._rng, now_ms, call.arrival.data_centre)
         call.gateway = self._rng.choice(
-            [gateway for gateway in self._gateways if gateway.data_centre == place]
+            [
+                gateway
+                for gateway in self._gateways
+                if gateway.data_centre == place and not gateway.is_lost
+            ]
         )
         call.gateway.budget.record_first_send(
-            now_ms=now_ms, gateways_count=GATEWAYS_COUNT
+            now_ms=now_ms, gateways_count=self.gateways_count()
         )
         self._ask(call, now_ms)
 
@@ -360,10 +426,11 @@
         call.request = QueuedRequest(
             arrived_ms=call.attempt_ms,
             start_until_ms=call.gateway.first_answer_time.start_until_ms(
-                asked_ms=call.arrival.at_ms, goal_ms=GOAL_MS
+                asked_ms=call.arrival.at_ms, goal_ms=call.arrival.goal_ms
             ),
             queue_deadline_ms=now_ms + limit.limit_ms,
             end_ms=call.end_ms,
+            priority=call.arrival.priority,
             last_chance=limit.last_chance,
         )
         decision = call.gateway.line.arrive(call, now_ms=now_ms)
@@ -378,7 +445,9 @@
     def _reject(self, call, now_ms):
         """Answer that the request did not run, with the time to come back."""
         left_ms = call.end_ms - now_ms
-        after_ms = call.gateway.line.retry_after_ms(left_ms=left_ms, now_ms=now_ms)
+        after_ms = call.gateway.line.retry_after_ms(
+            left_ms=left_ms, now_ms=now_ms, priority=call.arrival.priority
+        )
         after_ms = min(after_ms, HONOURED_SHARE * left_ms)
         self._retry_caller(call, now_ms + after_ms)
 
@@ -445,7 +514,7 @@
             is_repeatable=True,
         )
         if is_allowed and call.gateway.budget.try_spend(
-            now_ms=now_ms, gateways_count=GATEWAYS_COUNT
+            now_ms=now_ms, gateways_count=self.gateways_count()
         ):
             self._ask(call, now_ms)
         elif ran:
@@ -456,7 +525,7 @@
     def _finish(self, call, now_ms):
         self._end_send(call, now_ms)
         call.gateway.pool.get(f"t{call.target_number}").record_success()
-        on_time = call.first_event_ms <= call.arrival.at_ms + GOAL_MS
+        on_time = call.first_event_ms <= call.arrival.at_ms + call.arrival.goal_ms
         call.share = ON_TIME_CREDIT if on_time else LATE_CREDIT
         call.place, call.is_over = "away", True
 
--- a/tests/test_gateway_joined_sends.py
+++ b/tests/test_gateway_joined_sends.py
@@ -171,7 +171,7 @@
         budget = Unlimited(ratio=0.0, slack_count=0.0, window_ms=1.0)
         fixture.gateway.budget = lambda service: budget
         queue = fixture.gateway.admission_queue("models")
-        queue.has_free_slot = lambda *, tried: True
+        queue.has_free_slot = lambda *, tried, priority: True
         other = fixture.gateway.target_pool.get("w1")
         other.avoid(now_ms=fixture.gateway.clock.now_ms(), pause_ms=900.0)
         async with asyncio.timeout(6.0):
