Send a copy of a slow request to a second target, within a limit

Single slow answers spoil the callers' figures. With second_copies_ratio above 0 (default 0: no timer, nothing recorded), a safe request or a resumable stream without an event that is unanswered after the 95th percentile of its kind's recent answers is sent to a second target too. The copy is one more send beside the first in Attempts: the first event or whole answer wins, the other send is cancelled and its connection aborted. The copy takes its slot at once or is not sent, counts as a run, and takes a token of the retry budget. A slow first send is no failure of its target. One log line per copy with its outcome; counters of copies sent, won, lost, failed, cancelled and withheld (with the reason).

A gateway with few answers keeps its windows of delays longer than 10 s: at two a second, 20 s hold fewer than the 50 that are needed.

--- a/src/waxwinghold/_decisions/second_copies.py
+++ b/src/waxwinghold/_decisions/second_copies.py
@@ -12,6 +12,8 @@
 from hdrh.histogram import HdrHistogram
 
 DELAYS_WINDOW_MS = 10_000.0  # Two windows are kept, so that 10 to 20 s count.
+# A window is longer while it has too few answers: at two a second it takes 25 s.
+DELAYS_WINDOW_LIMIT_MS = 60_000.0
 # With fewer answers, the 95th percentile is that of one or two of them.
 ANSWERS_MIN_COUNT = 50
 HIGHEST_DELAY_MS = 600_000
@@ -73,6 +75,7 @@
         self._current = _histogram()
         self._previous = _histogram()
         self._began_ms = now_ms
+        self._last_ms = now_ms
         self._timing = None
         self._timing_percentile = None
         self._read_ms = float("-inf")
@@ -81,6 +84,7 @@
         self._change_windows(now_ms)
         units = int(min(max(delay_ms, 0.0), HIGHEST_DELAY_MS) * UNITS_PER_MS)
         self._current.record_value(max(1, units))
+        self._last_ms = now_ms
 
     def timing(self, percentile, *, now_ms):
         is_old = now_ms - self._read_ms >= TIMING_AGE_LIMIT_MS
@@ -92,11 +96,12 @@
 
     def _change_windows(self, now_ms):
         age_ms = now_ms - self._began_ms
-        if age_ms < DELAYS_WINDOW_MS:
+        has_few = self._current.get_total_count() < ANSWERS_MIN_COUNT
+        if age_ms < (DELAYS_WINDOW_LIMIT_MS if has_few else DELAYS_WINDOW_MS):
             return
         self._current, self._previous = self._previous, self._current
         self._current.reset()
-        if age_ms >= 2 * DELAYS_WINDOW_MS:
+        if now_ms - self._last_ms >= 2 * DELAYS_WINDOW_MS:
             self._previous.reset()
         self._began_ms = now_ms
 
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -117,6 +117,31 @@
         now_ms = self._clock.now_ms()
         return not self._line and self._choose_target(tried, now_ms) is not None
 
+    @property
+    def free_ratio(self):
+        """Return the share of the service's slots that is free."""
+        return self._state(self._clock.now_ms()).free_ratio
+
+    def try_acquire(self, request, *, tried):
+        """Return a free ``Slot`` for a second copy, or ``None``; it never waits.
+
+        Args:
+            request: The ``QueuedRequest``.
+            tried: Names of targets that must not get the request.
+        """
+        now_ms = self._clock.now_ms()
+        if not self.has_free_slot(tried=tried):
+            return None
+        target = self._choose_target(tried, now_ms)
+        if target is None:
+            return None
+        future = asyncio.get_running_loop().create_future()
+        slot = Slot(request=request, tried=tried, future=future, started_ms=now_ms)
+        # The demand for slots is that of the requests, without their copies.
+        slot.is_late = True
+        _take(slot, target)
+        return slot
+
     def release(self, slot):
         """Free the ``Slot`` that ``acquire`` returned."""
         slot.target.release_slot()
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -25,6 +25,7 @@
     TimedOutError,
     WithdrawnTargetError,
 )
+from .hedging import Hedge
 from .model import RequestKind
 from .sending import AnswerProgress, SendAttempt, stream_gap_ms
 
@@ -49,6 +50,8 @@
         is_counted: Whether it was counted as a run.
         uses_budget: Whether it took a token of the retry budget.
         may_have_arrived: Whether any byte may have reached the target.
+        slot: The ``Slot`` that it begins with, until its task has taken it over;
+            ``None`` if the task acquires one itself.
     """
 
     task: asyncio.Task | None = None
@@ -59,6 +62,7 @@
     is_counted: bool = False
     uses_budget: bool = False
     may_have_arrived: bool = False
+    slot: object = None
 
 
 class Attempts:
@@ -66,7 +70,8 @@
 
     A send that makes no progress goes on beside the next one. Whichever passes
     something on first is the only one from then on, so that a target that was
-    only silent can finish its answer if the other target does not.
+    only silent can finish its answer if the other target does not. A second copy of
+    a slow request is such a send, too.
 
     Args:
         gateway: The ``Gateway`` that serves the request.
@@ -93,6 +98,7 @@
         self._progress = AnswerProgress(last_event_id=admitted.call.last_event_id)
         self._running = []
         self._changed = asyncio.Event()
+        self._hedge = Hedge(gateway=gateway, admitted=admitted, on_due=self._send_copy)
 
     async def run(self):
         """Send the request and pass an answer on to the caller.
@@ -107,6 +113,7 @@
             now_ms=self._clock.now_ms(),
             gateways_count=self._gateway.peers.gateways_count,
         )
+        self._hedge.record_first_send()
         self._begin_send()
         try:
             while True:
@@ -120,19 +127,70 @@
                 send.task.cancel()
             if self._running:
                 await asyncio.wait([send.task for send in self._running])
+            self._hedge.end()
 
-    def _begin_send(self):
-        send = RunningSend(uses_budget=self._has_token)
+    def _begin_send(self, *, slot=None):
+        send = RunningSend(uses_budget=self._has_token, slot=slot)
         self._has_token = False
         send.task = asyncio.create_task(self._send(send))
         send.task.add_done_callback(lambda _: self._record_end(send))
         self._running.append(send)
+        return send
 
     def _record_end(self, send):
+        if send.slot is not None:  # Cancelled before its task began.
+            self._admission_queue.release(send.slot)
         if send.uses_budget and not send.may_have_arrived:
             self._budget.give_back()
+        if send is self._hedge.copy and not send.may_have_arrived:
+            self._hedge.give_back()
         self._changed.set()
 
+    def _send_copy(self, first):
+        """Send the request to another target beside ``first``, if that is allowed."""
+        is_progressing = first.stuck_error is None and first.is_joinable
+        if self._running != [first] or first.task.done() or not is_progressing:
+            return
+        hedge = self._hedge
+        excluded = slot = None
+        reason = hedge.obstacle() or self._copy_obstacle()
+        if not reason:
+            excluded = hedge.excluded_names(first.target, tried=self._tried)
+            reason = "" if excluded is not None else "no_target"
+        if not reason and not hedge.try_take():
+            reason = "limit"
+        elif not reason and not self._spend():
+            hedge.give_back()
+            reason = "budget"
+        elif not reason:
+            slot = hedge.try_acquire(excluded=excluded)
+        if reason:
+            hedge.record_withheld(reason)
+            return
+        if slot is None:
+            hedge.give_back()
+            self._budget.give_back()
+            hedge.record_withheld("no_target")
+            return
+        self._has_token = True
+        copy = self._begin_send(slot=slot)
+        copy.target = slot.target
+        hedge.record_copy(first, copy)
+
+    def _copy_obstacle(self):
+        """Return which rule forbids to send the request once more, or nothing."""
+        if not self._may_run_again(runs_count=self._ran_count + 1, may_have_run=True):
+            return "attempts"
+        if not self._gateway.suspects.may_send_again(
+            self._admitted.content, now_ms=self._clock.now_ms()
+        ):
+            return "suspected"
+        try:
+            self._gateway.check_sendable(self._admitted)
+        except RequestError as error:
+            return error.code
+        return ""
+
     def _check_ended(self):
         """Handle the sends that have ended, and return whether one has answered.
 
@@ -199,6 +257,7 @@
 
     def _take_over(self, send, *, ends):
         """Cancel the other sends: the caller gets the rest from ``send``."""
+        self._hedge.record_answer(send)
         if send.is_slow and not ends:
             return  # The other target is wanted although this one goes on.
         send.stuck_error = None
@@ -256,31 +315,41 @@
         Raises:
             RequestError: Nothing was sent.
         """
-        slot = await self._acquire_slot()
+        slot, running.slot = running.slot, None
+        if slot is None:
+            slot = await self._acquire_slot()
         target = running.target = slot.target
         self._sends_count += 1
         self._tried.add(target.listing.name)
+        uncounted_count = sum(not send.is_counted for send in self._running)
         attempt = SendAttempt(
             gateway=self._gateway,
             admitted=self._admitted,
             answer=self._answer,
             progress=self._progress,
-            has_another=self._ran_count + 1 < self._route.attempts_limit_count,
+            has_another=(
+                self._ran_count + uncounted_count < self._route.attempts_limit_count
+            ),
             has_slot_elsewhere=lambda: self._admission_queue.has_free_slot(
                 tried=self._tried
             ),
             is_alone=lambda: len(self._running) == 1,
             on_stuck=lambda error: self._record_stuck(running, error),
             on_progress=lambda *, ends=False: self._take_over(running, ends=ends),
+            on_sent=lambda: self._hedge.record_sent(
+                running, is_alone=len(self._running) == 1
+            ),
         )
         try:
             await attempt.run(target)
         except WithdrawnTargetError as error:
             self._sends_count -= 1  # Nothing was sent, and no target rejected it.
             log.info("send failed", extra=self._failure_details(target, error))
+            self._hedge.record_failure(running, error)
             return error
         except SendError as error:
             self._record_failure(running, attempt, error)
+            self._hedge.record_failure(running, error)
             return error
         except asyncio.CancelledError:
             if attempt.may_have_arrived:
@@ -354,16 +423,20 @@
         if culprit is not None:
             culprit.avoid(now_ms=now_ms, pause_ms=STALLED_TARGET_AVOID_MS)
 
-    def _may_send_again(self, failure):
-        is_allowed = may_send_again(
+    def _may_run_again(self, *, runs_count, may_have_run):
+        return may_send_again(
             sends_count=self._sends_count,
             left_ms=self._left_ms(),
-            may_have_run=self._ran is not Ran.NOT_RUN,
-            runs_count=self._ran_count,
+            may_have_run=may_have_run,
+            runs_count=runs_count,
             runs_limit_count=self._route.attempts_limit_count,
             is_repeatable=self._route.repeatable,
         )
-        if not is_allowed:
+
+    def _may_send_again(self, failure):
+        if not self._may_run_again(
+            runs_count=self._ran_count, may_have_run=self._ran is not Ran.NOT_RUN
+        ):
             return False
         if not self._may_have_arrived:
             return True  # Only retries of sends that reached a target use the budget.
@@ -371,11 +444,14 @@
             self._admitted.content, now_ms=self._clock.now_ms()
         ):
             return False
-        self._has_token = self._budget.try_spend(
+        self._has_token = self._spend()
+        return self._has_token
+
+    def _spend(self):
+        return self._budget.try_spend(
             now_ms=self._clock.now_ms(),
             gateways_count=self._gateway.peers.gateways_count,
         )
-        return self._has_token
 
     def _final_error(self, failure):
         """Return the error that ends the request after the failed send ``failure``."""
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -8,6 +8,7 @@
 
 from .._decisions.crash_suspects import CrashSuspects, RequestContent
 from .._decisions.retry_budget import budget_policy
+from .._decisions.second_copies import SecondCopies
 from .._decisions.target_choice import Turns, target_policy
 from .._decisions.waiting import UsualDeadline, queue_policy
 from .._metrics import Metrics
@@ -119,6 +120,7 @@
         self._caller_server = CallerServer(gateway=self)
         self._admission_queues = {}
         self._budgets = {}
+        self._second_copies = {}
         self._usual_deadlines = {}
         self._servers = []
         self._started_ms = clock.now_ms()
@@ -177,6 +179,16 @@
             self._budgets[service] = budget
         return budget
 
+    def second_copies(self, service):
+        """Return the ``SecondCopies`` of ``service``; ``None`` if none are allowed."""
+        if not self.settings.second_copies_ratio > 0:
+            return None
+        copies = self._second_copies.get(service)
+        if copies is None:
+            window_ms = self.settings.retry_window_s * MS_PER_SECOND
+            copies = self._second_copies[service] = SecondCopies(window_ms=window_ms)
+        return copies
+
     async def serve(self, call, answer):
         """Serve one request.
 
@@ -401,7 +413,10 @@
         """Apply the changed settings, and start new retry budgets with them."""
         if self._settings_file is None:
             return
+        window_s = self.settings.retry_window_s
         self.settings = self._settings_file.reload()
+        if self.settings.retry_window_s != window_s:
+            self._second_copies = {}
         self.peers.settings = self.settings
         self._budgets = {}
 
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -106,6 +106,7 @@
             beside this one.
         on_progress: Called before anything is passed on to the caller; with ``ends``
             if that is the end of a stream.
+        on_sent: Called when the request is sent.
 
     Attributes:
         may_have_arrived: Whether any byte may have reached the target.
@@ -125,6 +126,7 @@
         is_alone,
         on_stuck,
         on_progress,
+        on_sent,
     ):
         self._gateway = gateway
         self._clock = gateway.clock
@@ -140,6 +142,7 @@
         self._is_alone = is_alone
         self._on_stuck = on_stuck
         self._on_progress = on_progress
+        self._on_sent = on_sent
         self.may_have_arrived = False
         self.has_head = False
         self.has_data = False
@@ -163,6 +166,7 @@
             self.may_have_arrived = True
             self._sent_ms = self._clock.now_ms()
             connection.send(self._request_bytes(target))
+            self._on_sent()
             head, metadata = await self._head(target, connection)
             self.has_head = True
             if not metadata.executed:
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -43,6 +43,10 @@
         retry_slack_count: Retries allowed beyond that in one window, over all
             gateways.
         retry_window_s: Length of the window in seconds.
+        second_copies_ratio: Slow requests that are sent to a second target, for each
+            first send in such a window, over all gateways; 0 for none.
+        second_copies_percentile: A request is slow if it is unanswered for longer
+            than this share, in percent, of the recent requests of its kind took.
         log_level: The name of a logbook level.
         metrics_port: TCP port of the metrics over HTTP; 0 for no metrics.
     """
@@ -62,5 +66,7 @@
     retry_ratio: float = 0.2
     retry_slack_count: float = 90.0
     retry_window_s: float = 10.0
+    second_copies_ratio: float = 0.0
+    second_copies_percentile: float = 95.0
     log_level: str = "INFO"
     metrics_port: int = 0
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -263,6 +263,10 @@
     if name in ("name", "data_centre"):
         is_valid = re.fullmatch(r"[A-Za-z0-9][A-Za-z0-9._-]{0,62}", value)
         return None if is_valid else "a name of letters, digits, '.', '_' and '-'"
+    if name == "second_copies_ratio":
+        return None if 0 <= value <= 1 else "a number from 0 to 1"
+    if name == "second_copies_percentile":
+        return None if 50 <= value < 100 else "a number from 50 to below 100"
     if name.endswith(("_ms", "_count", "_bytes")) and value <= 0:
         return "a number above 0"
     return None
--- a/tests/test_decisions_second_copies.py
+++ b/tests/test_decisions_second_copies.py
@@ -62,6 +62,12 @@
         self.record([20.0], now_ms=30_000.0)
         self.assertIsNone(self.timing(now_ms=30_000.0))
 
+    def test_a_service_with_few_requests_has_a_delay(self):
+        # In 20 s a gateway of many may see fewer answers than are needed.
+        for number in range(120):
+            self.record([30.0], now_ms=number * 500.0)
+        self.assertAlmostEqual(self.timing(now_ms=60_000.0).delay_ms, 30.0, delta=0.5)
+
     def test_copies_that_win_do_not_lower_the_percentile(self):
         # If a send cancelled by its copy did not count, one request in twenty of the
         # rest would be slow, and so on until all were.
