--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -43,10 +43,12 @@
         retry_slack_count: Retries allowed beyond that in one window, over all
             gateways.
         retry_window_s: Length of the window in seconds.
-        second_copies_ratio: Slow requests that are sent to a second target, for each
-            first send in such a window, over all gateways; 0 for none.
-        second_copies_percentile: A request is slow if it is unanswered for longer
-            than this share, in percent, of the recent requests of its kind took.
+        second_copies_ratio: Slow requests that may be sent to a second target, for
+            each first send in a window of ``retry_window_s``, over all gateways; from
+            0 (none) to 1.
+        second_copies_percentile: A request is slow once it is unanswered for longer
+            than this percentage of the recent requests of its kind were; from 50 to
+            below 100.
         log_level: The name of a logbook level.
         metrics_port: TCP port of the metrics over HTTP; 0 for no metrics.
     """
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -63,6 +63,18 @@
         self.path.unlink()
         self.assertEqual(file.reload().retry_ratio, 0.2)
 
+    def test_a_ratio_of_copies_out_of_range_changes_nothing(self):
+        # A ratio of 5 in place of 0.05 would send each request many times.
+        file = self.open()
+        self.write(second_copies_ratio=0.05)
+        self.assertEqual(file.reload().second_copies_ratio, 0.05)
+        for ratio in (-0.1, 5, float("nan"), float("inf")):
+            self.write(second_copies_ratio=ratio)
+            self.assertEqual(file.reload().second_copies_ratio, 0.05)
+        for percentile in (49, 100, float("nan")):
+            self.write(second_copies_percentile=percentile)
+            self.assertEqual(file.reload().second_copies_percentile, 95.0)
+
     def test_an_invalid_file_at_the_start_is_an_error(self):
         self.write(retry_ratio="much")
         with self.assertRaises(SettingsError):
