Let two tests of second copies notice a third send, and end in time

A third send beside the first one after a lost copy went unnoticed with two targets, and a test waited without end on a form that takes a head for the winner.

--- a/src/waxwinghold_bench/decision_replay/patterns.py
+++ b/src/waxwinghold_bench/decision_replay/patterns.py
@@ -95,7 +95,7 @@
     is_impatient: bool
 
 
-def arrivals(pattern, *, seed):
+def arrivals(pattern, *, seed, length_ms=LENGTH_MS):
     """Return the ``Arrival`` objects of a pattern, in order of time."""
     rng = random.Random(f"arrivals {seed}")
     weights = [pattern.large_customer_factor] + [1.0] * (CUSTOMERS_COUNT - 1)
@@ -103,7 +103,7 @@
     found, now_ms = [], 0.0
     while True:
         now_ms += rng.expovariate(CAPACITY_PER_MS * pattern.load(now_ms))
-        if now_ms >= LENGTH_MS:
+        if now_ms >= length_ms:
             return found
         found.append(
             Arrival(
--- a/src/waxwinghold_bench/decision_replay/world.py
+++ b/src/waxwinghold_bench/decision_replay/world.py
@@ -130,7 +130,7 @@
         self.pool = TargetPool(clock=clock)
         self._policies = policies
         turns = Turns(position=lambda: number, count=lambda: GATEWAYS_COUNT)
-        choice = target_policy.make(
+        self.choice = choice = target_policy.make(
             policies.target,
             data_centre=self.data_centre,
             pace=self.pool.group_pace,
@@ -169,6 +169,9 @@
         seed: Seed of all random numbers but the arrivals.
     """
 
+    call_type = _Call
+    length_ms = LENGTH_MS
+
     def __init__(self, *, pattern, policies, seed):
         self._pattern = pattern
         self._policies = policies
@@ -186,10 +189,10 @@
     def run(self, found):
         """Replay ``Arrival`` objects; return ``(arrival, share)`` of each."""
         for arrival in found:
-            call = _Call(arrival=arrival)
+            call = self.call_type(arrival=arrival)
             self._calls.append(call)
             self._schedule(arrival.at_ms, call)
-        while self._clock.time_ms < LENGTH_MS + DEADLINE_MS:
+        while self._clock.time_ms < self.length_ms + DEADLINE_MS:
             self._tick()
             self._clock.time_ms += TICK_MS
         return [(call.arrival, call.share) for call in self._calls]
@@ -256,11 +259,13 @@
                 done_ms = call.arrival.size_ms - call.remaining_ms
                 if call.first_event_ms is None and done_ms >= FIRST_EVENT_MS:
                     call.first_event_ms = now_ms
-                    took_ms = now_ms - call.sent_ms
-                    call.gateway.first_answer_time.record(took_ms)
+                    self._record_first_event(call, now_ms)
                 if call.remaining_ms <= 0:
                     self._finish(call, now_ms)
 
+    def _record_first_event(self, call, now_ms):
+        call.gateway.first_answer_time.record(now_ms - call.sent_ms)
+
     def _close(self, target, now_ms):
         if target.closed_ms is None:
             target.closed_ms = now_ms
--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -186,6 +186,7 @@
     async def test_events_sent_at_the_same_moment_are_passed_on_once(self):
         fixture = await self.fixture("late", "late")
         gate = asyncio.Event()
+        self.addCleanup(gate.set)
 
         async def stream(headers, writer):
             headers = [*headers, ("Transfer-Encoding", "chunked")]
@@ -348,8 +349,11 @@
         self.assertEqual(self.counts(fixture), {"sent.safe": 1, "won": 1})
 
     async def test_a_lost_copy_does_not_end_the_first_send(self):
-        fixture = await self.fixture("slow", "reset")
+        # Nor is a third send begun beside the first one.
+        fixture = await self.fixture("slow", "reset", "whole")
         fixture.workers[0].event_ms = 50.0
+        third = fixture.gateway.target_pool.get("w2")
+        third.avoid(now_ms=fixture.gateway.clock.now_ms(), pause_ms=150.0)
         status, _, body = await fixture.call("/safe/a")
         self.assertEqual((status, body), (200, fixture.workers[0].body))
         self.assertEqual(fixture.runs_count(), 2)
