Test that a held permit for a limited target is not used for a copy

Without a permit the target got no copy in any case, so that the test passed on a form that does not look at limits.

--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -445,9 +445,11 @@
         call = asyncio.create_task(fixture.call("/safe/a"))
         await self.until(lambda: fixture.workers[0].runs)
         target = gateway.target_pool.get("w1")
-        gateway.target_pool.permits.limits.record(
-            target.incarnation, per_second=1000.0, now_ms=gateway.clock.now_ms()
-        )
+        permits = gateway.target_pool.permits
+        now_ms = gateway.clock.now_ms()
+        permits.limits.record(target.incarnation, per_second=10.0, now_ms=now_ms)
+        # Any request may use the permit, but not one that another target has.
+        permits._held.add(target.incarnation, now_ms=now_ms)
         status, _, body = await call
         self.assertEqual((status, body), (200, fixture.workers[0].body))
         self.assertEqual(fixture.workers[1].requests, [])
