Count copies in a window of their own, of 60 s by default

Each gateway rounds its share down to whole copies. At 5 first sends a second and a ratio of 0.05, a window of 10 s (that of the retry budget) gives two copies at most, and the first after 4 s.

The new setting second_copies_window_s is 60 by default; a reload applies it.

tests.test_gateway_second_copies, test_reload, test_settings, test_tool_commands.ConfigurationTests and test_unused_members: 60 passed.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -185,7 +185,7 @@
             return None
         copies = self._second_copies.get(service)
         if copies is None:
-            window_ms = self.settings.retry_window_s * MS_PER_SECOND
+            window_ms = self.settings.second_copies_window_s * MS_PER_SECOND
             copies = self._second_copies[service] = SecondCopies(window_ms=window_ms)
         return copies
 
@@ -413,9 +413,9 @@
         """Apply the changed settings, and start new retry budgets with them."""
         if self._settings_file is None:
             return
-        window_s = self.settings.retry_window_s
+        window_s = self.settings.second_copies_window_s
         self.settings = self._settings_file.reload()
-        if self.settings.retry_window_s != window_s:
+        if self.settings.second_copies_window_s != window_s:
             self._second_copies = {}
         self.peers.settings = self.settings
         self._budgets = {}
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -44,8 +44,9 @@
             gateways.
         retry_window_s: Length of the window in seconds.
         second_copies_ratio: Slow requests that may be sent to a second target, for
-            each first send in a window of ``retry_window_s``, over all gateways; from
-            0 (none) to 1.
+            each first send in a window, over all gateways; from 0 (none) to 1.
+        second_copies_window_s: Length of that window in seconds. Each gateway rounds
+            down to whole copies in it.
         second_copies_percentile: A request is slow once it is unanswered for longer
             than this percentage of the recent requests of its kind were; from 50 to
             below 100.
@@ -69,6 +70,7 @@
     retry_slack_count: float = 90.0
     retry_window_s: float = 10.0
     second_copies_ratio: float = 0.0
+    second_copies_window_s: float = 60.0
     second_copies_percentile: float = 95.0
     log_level: str = "INFO"
     metrics_port: int = 0
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -265,6 +265,8 @@
         return None if is_valid else "a name of letters, digits, '.', '_' and '-'"
     if name == "second_copies_ratio":
         return None if 0 <= value <= 1 else "a number from 0 to 1"
+    if name == "second_copies_window_s":
+        return None if 1 <= value <= 3600 else "a number from 1 to 3600"
     if name == "second_copies_percentile":
         return None if 50 <= value < 100 else "a number from 50 to below 100"
     if name.endswith(("_ms", "_count", "_bytes")) and value <= 0:
--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -33,7 +33,7 @@
         fixture = GatewayFixture(
             behaviours=behaviours,
             second_copies_ratio=ratio,
-            retry_window_s=WINDOW_S,
+            second_copies_window_s=WINDOW_S,
             **settings,
         )
         await self.enterAsyncContext(fixture.open())
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -71,6 +71,9 @@
         for ratio in (-0.1, 5, float("nan"), float("inf")):
             self.write(second_copies_ratio=ratio)
             self.assertEqual(file.reload().second_copies_ratio, 0.05)
+        for window_s in (0, -1, float("nan"), float("inf")):
+            self.write(second_copies_window_s=window_s)
+            self.assertEqual(file.reload().second_copies_window_s, 60.0)
         for percentile in (49, 100, float("nan")):
             self.write(second_copies_percentile=percentile)
             self.assertEqual(file.reload().second_copies_percentile, 95.0)
