Test that a slower group gets no copy, apart from its silence

The target in the test also counted as silent, so that the test passed on a form that does not look at the pace.

tests.test_gateway_second_copies.ScarceSlotTests: 4 passed.

--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -584,7 +584,10 @@
     async def test_no_copy_is_sent_to_a_silent_target_or_a_slower_group(self):
         for change in (
             {"is_silent": lambda now_ms: True},
-            {"rank_notice": SimpleNamespace(pace=3.0, group="g1")},
+            {
+                "rank_notice": SimpleNamespace(pace=3.0, group="g1"),
+                "is_silent": lambda now_ms: False,
+            },
         ):
             with self.subTest(change=list(change)):
                 fixture = await self.fixture("slow", "whole")
