--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -44,7 +44,13 @@
         self.prepare(fixture)
         return fixture
 
-    def prepare(self, fixture, *, first_sends_count=FIRST_SENDS_COUNT):
+    def prepare(
+        self,
+        fixture,
+        *,
+        first_sends_count=FIRST_SENDS_COUNT,
+        delays_count=DELAYS_COUNT,
+    ):
         """Give the gateway its recent past, and let it choose the first worker."""
         gateway = fixture.gateway
         self.choose_first(fixture)
@@ -56,7 +62,7 @@
             copies.limit.record_first_send(**times)
         for route in gateway.published.table.configuration.routes:
             kind = (route.kind, route.latency_goal_ms)
-            for number in range(DELAYS_COUNT):
+            for number in range(delays_count):
                 delay_ms = TYPICAL_MS if number % 10 else DELAY_MS
                 copies.delays.record(kind, delay_ms, now_ms=times["now_ms"])
 
@@ -644,6 +650,7 @@
         fixture = await self.fixture("slow", "whole")
         fixture.workers[0].event_ms = 40.0
         fixture.gateway.second_copies("models").delays.__init__()
+        self.prepare(fixture, delays_count=40)
         await fixture.call("/safe/a")
         self.assertEqual(fixture.workers[1].requests, [])
         self.assertEqual(self.counts(fixture), {})
