Count only requests that were sent as first sends

A request that was rejected without a send counted, too, so that an overload allowed more copies. The count is now made when the request is sent.

tests.test_gateway_second_copies: 47 passed, with a new test that failed on the former count by construction (it counted the rejected request).

--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -113,7 +113,6 @@
             now_ms=self._clock.now_ms(),
             gateways_count=self._gateway.peers.gateways_count,
         )
-        self._hedge.record_first_send()
         self._begin_send()
         try:
             while True:
--- a/src/waxwinghold/_gateway/hedging.py
+++ b/src/waxwinghold/_gateway/hedging.py
@@ -38,6 +38,7 @@
         route = admitted.route
         self._is_eligible = self._copies is not None and may_be_copied(route)
         self._kind = (route.kind, route.latency_goal_ms)
+        self._is_sent = False
         self._sent_ms = None
         self._timing = None
         self._timer = None
@@ -46,13 +47,11 @@
         self._has_outcome = False
         self.copy = None
 
-    def record_first_send(self):
-        """Record that the request is about to be sent for the first time."""
-        if self._copies is not None:
-            self._copies.limit.record_first_send(**self._times())
-
     def record_sent(self, send, *, is_alone):
-        """Begin to time ``send``, unless others of the request are running."""
+        """Record that ``send`` was sent, and time it unless others are running."""
+        if self._copies is not None and not self._is_sent:
+            self._is_sent = True
+            self._copies.limit.record_first_send(**self._times())
         if not self._is_eligible or not is_alone or self.copy is not None:
             return
         self._cancel_timer()
--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -623,6 +623,19 @@
         self.assertEqual(counts["sent.safe"], 2)
         self.assertEqual(counts["withheld.limit"], 3)
 
+    async def test_only_requests_that_were_sent_count_as_first_sends(self):
+        # Under overload, those that are rejected would allow copies.
+        fixture = await self.fixture("whole")
+        limit = fixture.gateway.second_copies("models").limit
+        await fixture.call("/safe/a")
+        self.assertEqual(limit._first_sends_count, FIRST_SENDS_COUNT + 1)
+        target = fixture.gateway.target_pool.get("w0")
+        for _ in range(target.listing.slots_count):
+            target.acquire_slot()
+        status, _, _ = await fixture.call("/safe/a", Deadline_Ms="200")
+        self.assertEqual(status, 503)
+        self.assertEqual(limit._first_sends_count, FIRST_SENDS_COUNT + 1)
+
     async def test_a_copy_takes_a_token_of_the_retry_budget(self):
         fixture = await self.fixture("slow", "whole")
         fixture.workers[0].event_ms = 40.0
