Test more strictly that no third send begins after a lost copy

The third target rejected the send in any case, so that the test passed on the naive form.

tests.test_gateway_second_copies.FailureTests: 15 passed.

--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -356,10 +356,11 @@
 
     async def test_a_lost_copy_does_not_end_the_first_send(self):
         # Nor is a third send begun beside the first one.
-        fixture = await self.fixture("slow", "reset", "whole")
-        fixture.workers[0].event_ms = 50.0
+        fixture = await self.fixture("slow", "late", "whole")
+        fixture.workers[0].event_ms = 70.0
+        answering_late(fixture.workers[1], 0.08, reset)
         third = fixture.gateway.target_pool.get("w2")
-        third.avoid(now_ms=fixture.gateway.clock.now_ms(), pause_ms=150.0)
+        third.avoid(now_ms=fixture.gateway.clock.now_ms(), pause_ms=120.0)
         status, _, body = await fixture.call("/safe/a")
         self.assertEqual((status, body), (200, fixture.workers[0].body))
         self.assertEqual(fixture.runs_count(), 2)
