Give the clocks of replays a time of day

Change: both clocks return their time as the time of day too.

Tested: the 56 decision replays pass, and 27 tests of control budgets, suspect exchange, new hosts and placement.

--- a/src/waxwinghold_bench/decision_replay/world.py
+++ b/src/waxwinghold_bench/decision_replay/world.py
@@ -72,6 +72,9 @@
     def now_ms(self):
         return self.time_ms
 
+    def wall_ms(self):
+        return int(self.time_ms)
+
 
 @dataclass(kw_only=True, eq=False)
 class _Call(LineEntry):
--- a/tests/test_control_budgets.py
+++ b/tests/test_control_budgets.py
@@ -517,6 +517,9 @@
     def now_ms(self):
         return self.time_ms
 
+    def wall_ms(self):
+        return int(self.time_ms)
+
 
 class Receiver:
     """Counts the group notices that arrive at a gateway."""
