--- a/src/waxwinghold/_decisions/second_copies.py
+++ b/src/waxwinghold/_decisions/second_copies.py
@@ -252,7 +252,7 @@
         first: The target that has the request.
         targets: All targets of the service.
         pace: Returns how many times slower than usual a target's group steps.
-        is_limited: Returns whether a target has named a limit.
+        is_limited: Returns whether a target is cold or has named a limit.
 
     Returns:
         Lists of targets; those in the first one have least in common with ``first``.
--- a/src/waxwinghold/_gateway/hedging.py
+++ b/src/waxwinghold/_gateway/hedging.py
@@ -102,7 +102,8 @@
             targets,
             pace=pool.group_pace,
             is_limited=lambda target: (
-                limits.per_second(target.incarnation, now_ms=now_ms) is not None
+                target.is_cold(now_ms=now_ms)
+                or limits.per_second(target.incarnation, now_ms=now_ms) is not None
             ),
             now_ms=now_ms,
         ):
