Let customers above their share wait behind the others of their priority

Cause: one customer at ten times the load of the others took slots from them in proportion to what it asked for.

Free slots are used by all.

--- a/src/waxwinghold/_decisions/waiting.py
+++ b/src/waxwinghold/_decisions/waiting.py
@@ -10,6 +10,7 @@
 from dataclasses import dataclass, replace
 
 from .._registry import Registry
+from .customer_shares import CustomerShares
 from .urgency import PRIORITY_MAX, Urgency
 
 RATE_WINDOW_MS = 2000.0  # Long enough for several completed requests of one gateway.
@@ -50,6 +51,7 @@
         end_ms: When its caller or its route ends it.
         priority: 0 is the most urgent.
         last_chance: Whether the caller has too little time left to retry later.
+        customer: Name of its customer; empty if it has none.
     """
 
     arrived_ms: float
@@ -58,6 +60,7 @@
     end_ms: float = float("inf")
     priority: int = 0
     last_chance: bool = False
+    customer: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -235,13 +238,21 @@
 
     knows_priorities = False
 
-    def __init__(self, *, gateways_count=None, peer_steps=None, rng=None):
+    def __init__(
+        self, *, gateways_count=None, peer_steps=None, rng=None, fair_customers=None
+    ):
         self.rate = DepartureRate()
         self.demand = FreshDemand(gateways_count=gateways_count or (lambda: 1))
         self.urgency = Urgency(
             gateways_count=gateways_count, peer_steps=peer_steps, rng=rng
         )
 
+    def record_ask(self, request, *, now_ms):
+        """Record that a request asks for a slot; this policy ignores it."""
+
+    def record_start(self, request, *, now_ms):
+        """Record that a request got a slot; this policy ignores it."""
+
     def sort_key(self, request, *, now_ms):
         """Return the sort key of a queued request; the lowest is served first."""
         return request.arrived_ms
@@ -278,6 +289,8 @@
         gateways_count: Returns how many gateways send to the same targets.
         peer_steps: See ``Urgency``.
         rng: Spreads the times at which rejected callers retry.
+        fair_customers: Returns whether customers above their share of the recent
+            starts wait behind the others of the same priority.
 
     Attributes:
         knows_priorities: Whether a request may start while less urgent ones wait.
@@ -285,26 +298,51 @@
 
     knows_priorities = True
 
-    def __init__(self, *, gateways_count=None, peer_steps=None, rng=None):
+    def __init__(
+        self,
+        *,
+        gateways_count=None,
+        peer_steps=None,
+        rng=None,
+        fair_customers=None,
+    ):
         self.rate = DepartureRate()
         self.demand = FreshDemand(gateways_count=gateways_count or (lambda: 1))
         self.urgency = Urgency(
             gateways_count=gateways_count, peer_steps=peer_steps, rng=rng
         )
+        self.shares = CustomerShares()
+        self._fair_customers = fair_customers or (lambda: False)
         self._gateways_count = gateways_count or (lambda: 1)
         self._rng = rng or random.Random()
 
+    def record_ask(self, request, *, now_ms):
+        """Record that a request asks for a slot."""
+        if self._fair_customers():
+            self.shares.record_ask(request.customer, now_ms=now_ms)
+
+    def record_start(self, request, *, now_ms):
+        """Record that a request got a slot."""
+        self.urgency.record_start(request.priority, now_ms=now_ms)
+        if self._fair_customers():
+            self.shares.record_start(request.customer, now_ms=now_ms)
+
     def sort_key(self, request, *, now_ms):
         """Return the sort key of a queued request; the lowest is served first.
 
         Among on-time requests, the newest is served first: under overload, the oldest
         would get its slot just too late. Among late ones, those whose callers cannot
-        come back are served first.
+        come back are served first. Customers above their share of the recent starts
+        come after the others of their priority if ``fair_customers`` says so.
         """
         late = now_ms > request.start_until_ms
+        is_above = self._fair_customers() and self.shares.is_above(
+            request.customer, now_ms=now_ms
+        )
         return (
             late,
             request.priority,
+            is_above,
             late and not request.last_chance,
             request.arrived_ms if late else -request.arrived_ms,
         )
@@ -467,6 +505,8 @@
         request = entry.request
         if not request.last_chance and not entry.tried:
             self._policy.demand.record_arrival(now_ms=now_ms)
+        if not entry.tried:
+            self._policy.record_ask(request, now_ms=now_ms)
         if now_ms <= request.start_until_ms and not entry.tried:
             self._policy.urgency.record_arrival(request.priority, now_ms=now_ms)
         if self.is_first(request.priority) and self._may_start(entry, state, now_ms):
@@ -539,7 +579,7 @@
 
     def _start(self, entry, now_ms):
         entry.started_ms = now_ms
-        self._policy.urgency.record_start(entry.request.priority, now_ms=now_ms)
+        self._policy.record_start(entry.request, now_ms=now_ms)
         entry.is_late = now_ms > entry.request.start_until_ms
         if not entry.is_late:
             self._policy.demand.record_start()
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -245,6 +245,7 @@
             end_ms=self._admitted.end_ms,
             priority=self._admitted.priority,
             last_chance=limit.last_chance,
+            customer=self._admitted.customer_name,
         )
         return await self._admission_queue.acquire(
             request, tried=frozenset(self._tried)
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -161,6 +161,7 @@
                     "on_time_first",
                     gateways_count=lambda: self.peers.gateways_count,
                     peer_steps=lambda: self.peers.peer_steps(service),
+                    fair_customers=lambda: self.settings.fair_customers,
                 ),
             )
             self._admission_queues[service] = queue
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -45,6 +45,8 @@
         retry_window_s: Length of the window in seconds.
         log_level: The name of a logbook level.
         metrics_port: TCP port of the metrics over HTTP; 0 for no metrics.
+        fair_customers: Whether customers above an equal share of the recent starts
+            wait behind the others of the same priority while slots are scarce.
     """
 
     name: str
@@ -64,3 +66,4 @@
     retry_window_s: float = 10.0
     log_level: str = "INFO"
     metrics_port: int = 0
+    fair_customers: bool = False
--- a/src/waxwinghold_bench/decision_replay/patterns.py
+++ b/src/waxwinghold_bench/decision_replay/patterns.py
@@ -77,6 +77,7 @@
         gateways_up: Function of the time; whether the gateways run.
         moves_to: Function of a random generator, the time and a data centre; returns
             the one whose gateways a caller uses.
+        fair_customers: Whether customers above their share wait behind the others.
         large_customer_factor: Load of customer 0, relative to the others.
         impatient_ratio: Share of the callers that repeat at once, three times.
     """
@@ -93,6 +94,7 @@
     failing_ratio: Callable = lambda now_ms, number: 0.0
     gateways_up: Callable = _all_up
     moves_to: Callable = _any_gateway
+    fair_customers: bool = False
     large_customer_factor: float = 1.0
     impatient_ratio: float = 0.0
 
@@ -188,6 +190,9 @@
 patterns["one customer at ten times its share"] = Pattern(
     load=lambda now_ms: 1.14, large_customer_factor=10.0
 )
+patterns["fair shares beside one customer at ten times its share"] = Pattern(
+    load=lambda now_ms: 1.14, large_customer_factor=10.0, fair_customers=True
+)
 patterns["callers that repeat at once"] = Pattern(
     load=lambda now_ms: 1.2 if _within(now_ms, 8, 16) else USUAL_LOAD,
     impatient_ratio=0.3,
--- a/src/waxwinghold_bench/decision_replay/world.py
+++ b/src/waxwinghold_bench/decision_replay/world.py
@@ -149,6 +149,7 @@
                 gateways_count=count,
                 peer_steps=lambda: world.peer_steps(number),
                 rng=rng,
+                fair_customers=lambda: world.fair_customers,
             ),
             choose=lambda tried, now_ms: choice.choose(
                 self.pool.of_service(SERVICE), tried=tried, now_ms=now_ms
@@ -206,6 +207,11 @@
             self._clock.time_ms += TICK_MS
         return [(call.arrival, call.share) for call in self._calls]
 
+    @property
+    def fair_customers(self):
+        """Whether customers above their share wait behind the others."""
+        return self._pattern.fair_customers
+
     def gateways_count(self):
         """Return how many gateways the others take for active."""
         return len(self._known_gateways())
@@ -432,6 +438,7 @@
             end_ms=call.end_ms,
             priority=call.arrival.priority,
             last_chance=limit.last_chance,
+            customer=str(call.arrival.customer),
         )
         decision = call.gateway.line.arrive(call, now_ms=now_ms)
         if decision.target is not None:
