--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -52,6 +52,8 @@
             below 100.
         log_level: The name of a logbook level.
         metrics_port: TCP port of the metrics over HTTP; 0 for no metrics.
+        fair_customers: Whether customers above an equal share of the recent starts
+            wait behind the others of the same priority while slots are scarce.
     """
 
     name: str
@@ -74,3 +76,4 @@
     second_copies_percentile: float = 95.0
     log_level: str = "INFO"
     metrics_port: int = 0
+    fair_customers: bool = False
