Limit the running requests of a group whose passes grow too long

Cause: slots were filled while they were free, however long a pass took. All ranks of a group begin each pass together, so one more stream makes all streams of its group later than the gap goal of their route.

Change: PassMeter in _decisions/pass_limit.py measures the passes from the step and the running requests in the notices, and derives how many requests may run. A group without room has no free slot; the last room is shared among the gateways in turns. Services without groups and routes without a gap goal have no limit. Gauges group_running_limit and pass_ms, and a log line when a limit begins or ends.

--- a/src/waxwinghold/_decisions/target_choice.py
+++ b/src/waxwinghold/_decisions/target_choice.py
@@ -9,6 +9,7 @@
 import zlib
 
 from .._registry import Registry
+from .pass_limit import may_take
 
 # At equal load, a target that fails all requests costs 1 + 4 times as much.
 FAILURE_WEIGHT = 4.0
@@ -54,6 +55,44 @@
         turn = zlib.crc32(name.encode()) + int(wall_ms / TURN_MS)
         return turn % self._count() == self._position()
 
+    def share(self, name, count, *, wall_ms):
+        """Return how many of ``count`` places at ``name`` this gateway may take now.
+
+        Each place goes to one gateway. Who gets them is drawn again at each turn.
+        """
+        turn = zlib.crc32(f"{name} {int(wall_ms / TURN_MS)}".encode())
+        whole_count, rest_count = divmod(count, self._count())
+        order = (self._position() - turn) % self._count()
+        return whole_count + (order < rest_count)
+
+
+def total_slots(free_counts, *, now_ms):
+    """Return the slots of some targets and how many of them are free.
+
+    In a group with a limit, no more can be used than the limit.
+
+    Args:
+        free_counts: Free slots of each ``TrackedTarget``.
+    """
+    slots_count = free_count = 0
+    limited = {}
+    for target, count in free_counts.items():
+        room_count = target.progress.room_count(now_ms=now_ms)
+        if room_count is None:
+            slots_count += target.listing.slots_count
+            free_count += max(0, count)
+            continue
+        group_slots, group_free, _ = limited.get(target.progress, (0, 0, 0))
+        limited[target.progress] = (
+            group_slots + target.listing.slots_count,
+            group_free + max(0, count),
+            max(0, room_count),
+        )
+    for progress, (group_slots, group_free, room_count) in limited.items():
+        slots_count += min(group_slots, progress.limit_count)
+        free_count += min(group_free, room_count)
+    return slots_count, free_count
+
 
 @target_policy("fewest_own")
 class FewestOwn:
@@ -70,6 +109,7 @@
         relative_pace=None,
         gateways_count=None,
         has_turn=None,
+        turn_share=None,
         rng=None,
     ):
         self._rng = rng or random.Random()
@@ -101,6 +141,8 @@
         gateways_count: Returns how many gateways select from the same targets.
         has_turn: ``has_turn(name)`` returns whether this gateway may take the last free
             slots of a target now.
+        turn_share: ``turn_share(name, count)`` returns how many of the last ``count``
+            places of a group this gateway may take now.
         rng: Draws the compared targets and breaks ties, so that gateways do not all
             make the same choice.
     """
@@ -113,6 +155,7 @@
         relative_pace=None,
         gateways_count=None,
         has_turn=None,
+        turn_share=None,
         rng=None,
     ):
         self._data_centre = data_centre
@@ -120,6 +163,7 @@
         self._relative_pace = relative_pace or (lambda target: 1.0)
         self._gateways_count = gateways_count or (lambda: 1)
         self._has_turn = has_turn or (lambda name: True)
+        self._turn_share = turn_share or (lambda name, count: count)
         self._rng = rng or random.Random()
 
     def choose(self, targets, *, tried, now_ms):
@@ -136,8 +180,9 @@
             if target.listing.name not in tried and target.is_usable(now_ms=now_ms)
         }
         usable = [target for target, count in free_counts.items() if count > 0]
-        slots_count = sum(target.listing.slots_count for target in free_counts)
-        free_count = sum(free_counts[target] for target in usable)
+        slots_count, free_count = total_slots(free_counts, now_ms=now_ms)
+        limited = self._with_room(usable, now_ms)
+        usable = [target for target in usable if target.progress not in limited]
         if free_count < SCARCE_FREE_RATIO * slots_count:
             usable = [
                 target
@@ -145,11 +190,39 @@
                 if target.has_released_slot(now_ms=now_ms)
                 or self._has_turn(target.listing.name)
             ]
+        usable += [target for targets in limited.values() for target in targets]
         if not usable:
             return None
         compared = self._compared(usable)
         return min(compared, key=lambda target: self._cost(target, now_ms))
 
+    def _with_room(self, usable, now_ms):
+        """Return, by group with a limit, those of ``usable`` that may get a request.
+
+        Turns at the single targets are not needed there: the room of the group is
+        shared in turns, and is less than the free slots of its targets.
+        """
+        with_room = {}
+        for target in usable:
+            progress = target.progress
+            if progress in with_room:
+                if with_room[progress]:
+                    with_room[progress].append(target)
+                continue
+            room_count = progress.room_count(now_ms=now_ms)
+            if room_count is None:
+                continue
+            group = target.rank_notice.group
+            takes = may_take(
+                room_count=room_count,
+                limit_count=progress.limit_count,
+                own_change_count=progress.own_change_count,
+                gateways_count=self._gateways_count(),
+                share=lambda count, group=group: self._turn_share(group, count),
+            )
+            with_room[progress] = [target] if takes else []
+        return with_room
+
     def _compared(self, usable):
         """Return a random sample of ``usable``; all of it for few gateways."""
         share = len(usable) / self._gateways_count()
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 from .._decisions.request_limits import may_wait
+from .._decisions.target_choice import total_slots
 from .._decisions.target_signals import retry_after_pause_ms
 from .._decisions.waiting import (
     FirstAnswerTime,
@@ -263,10 +264,10 @@
 def service_state(targets, *, now_ms):
     """Return the ``ServiceState`` of a service with these ``TrackedTarget`` objects."""
     usable = [target for target in targets if target.is_usable(now_ms=now_ms)]
-    slots_count = sum(target.listing.slots_count for target in usable)
-    free_count = sum(
-        max(0, target.free_slots_count(now_ms=now_ms)) for target in usable
-    )
+    free_counts = {
+        target: max(0, target.free_slots_count(now_ms=now_ms)) for target in usable
+    }
+    slots_count, free_count = total_slots(free_counts, now_ms=now_ms)
     return ServiceState(
         slots_count=slots_count,
         free_ratio=free_count / slots_count if slots_count else 0.0,
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -90,6 +90,10 @@
                 now_ms=self.clock.now_ms()
             ),
         )
+        self.metrics.gauge(
+            "group_running_limit", lambda: self.target_pool.lowest_running_limit()
+        )
+        self.metrics.gauge("pass_ms", lambda: self.target_pool.longest_pass_ms())
         self.peers = Peers(
             clock=clock,
             settings=settings,
@@ -154,6 +158,9 @@
                     has_turn=lambda name: self._turns.has(
                         name, wall_ms=self.clock.wall_ms()
                     ),
+                    turn_share=lambda name, count: self._turns.share(
+                        name, count, wall_ms=self.clock.wall_ms()
+                    ),
                 ),
                 admission_policy=queue_policy.make(
                     "on_time_first", gateways_count=lambda: self.peers.gateways_count
--- a/src/waxwinghold/_gateway/model.py
+++ b/src/waxwinghold/_gateway/model.py
@@ -83,11 +83,14 @@
         connections_limit_count: Connections that one target accepts from all
             gateways together.
         grouped: Whether its targets are ranks of expert groups.
+        pass_base_ms: Length of a pass of such a group with hardly any request; 0 if it
+            is unknown.
     """
 
     name: str
     connections_limit_count: int
     grouped: bool = False
+    pass_base_ms: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -4,6 +4,7 @@
 
 import logbook
 
+from .._decisions.pass_limit import pass_goals
 from .routes import RouteTable
 
 log = logbook.Logger("published")
@@ -89,6 +90,7 @@
             name: service.connections_limit_count
             for name, service in configuration.services.items()
         }
+        self._target_pool.pass_goals = pass_goals(configuration)
         log.info(
             "configuration applied",
             extra={
--- a/src/waxwinghold/_gateway/targets.py
+++ b/src/waxwinghold/_gateway/targets.py
@@ -11,6 +11,7 @@
 
 # Longer than the interval at which gateways repeat it.
 LEAVING_HINT_MS = 1000.0
+LIMIT_LOG_INTERVAL_MS = 1000.0  # Per group; a limit may come and go with the load.
 
 
 class TargetPool:
@@ -19,6 +20,7 @@
     Attributes:
         listeners: Functions that are called when a slot may have become free.
         grouped_services: Names of the services whose targets are ranks of groups.
+        pass_goals: The ``PassGoal`` of services whose groups have a limit, by service.
         connection_limits: How many connections a target accepts from all gateways
             together, by service.
         signals: The ``TargetSignals`` of all targets, also of those no longer listed.
@@ -32,6 +34,7 @@
         self._targets_by_address = {}
         self.listeners = []
         self.grouped_services = frozenset()
+        self.pass_goals = {}
         self.connection_limits = {}
         self.signals = TargetSignals()
         self.permits = Permits(clock=clock)
@@ -40,6 +43,7 @@
         self._group_positions = {}
         self._stalled_groups = {}
         self._progress = {}
+        self._limit_logs = {}  # Whether a limit was logged, and when, by group.
 
     def __iter__(self):
         return iter(self._targets.values())
@@ -94,6 +98,25 @@
         """Return how many times slower ``target`` is than its group's fastest rank."""
         return target.pace / self._group_paces(target)[0]
 
+    def lowest_running_limit(self):
+        """Return the lowest limit of running requests of a group; 0 without one."""
+        now_ms = self._clock.now_ms()
+        limits = (
+            progress.limit_count
+            for progress in self._progress.values()
+            if progress.room_count(now_ms=now_ms) is not None
+        )
+        return min(limits, default=0)
+
+    def longest_pass_ms(self):
+        """Return the longest mean pass of a group; 0 if none was measured recently."""
+        now_ms = self._clock.now_ms()
+        passes_ms = (
+            progress.meter.pass_ms(now_ms=now_ms)
+            for progress in self._progress.values()
+        )
+        return max((pass_ms or 0.0 for pass_ms in passes_ms), default=0.0)
+
     def _group_paces(self, target):
         """Return the lowest and the highest pace in the group of ``target``."""
         if target.rank_notice is None:
@@ -117,6 +140,8 @@
             self._log_stall(target, now_ms)
             self.notify_listeners()
         current = target.rank_notice
+        if current is notice:
+            self._update_limit(target, notice, now_ms)
         if notice.is_leaving and sender_ip == target.listing.address[0]:
             self._record_leaving_rank(target, notice, now_ms)
         if previous is None or (previous.group, previous.pace) != (
@@ -135,6 +160,7 @@
         now_ms = self._clock.now_ms()
         is_changed = False
         has_new_pace = False
+        member = None
         for target in self._targets.values():
             rank_notice = target.rank_notice
             if rank_notice is None or (rank_notice.group, rank_notice.epoch) != (
@@ -145,11 +171,14 @@
             entry = entries.get(rank_notice.rank)
             if entry is None:
                 continue
+            member = target
             previous_pace = target.pace
             if target.update_group(notice, entry, now_ms=now_ms):
                 self._log_stall(target, now_ms)
                 is_changed = True
             has_new_pace = has_new_pace or target.pace != previous_pace
+        if member is not None:
+            self._update_limit(member, notice, now_ms)
         if has_new_pace:
             self._update_paces(notice.group)
         if is_changed:
@@ -200,6 +229,28 @@
             },
         )
 
+    def _update_limit(self, target, notice, now_ms):
+        """Update the limit of the target's group, and log whether there is one."""
+        goal = self.pass_goals.get(target.listing.service)
+        progress = target.progress
+        progress.update_limit(step=notice.step, goal=goal, now_ms=now_ms)
+        is_limited = progress.limit_count is not None
+        was_limited, logged_ms = self._limit_logs.get(notice.group, (False, 0.0))
+        if is_limited == was_limited or now_ms - logged_ms < LIMIT_LOG_INTERVAL_MS:
+            return
+        self._limit_logs[notice.group] = is_limited, now_ms
+        pass_ms = progress.meter.pass_ms(now_ms=now_ms)
+        log.info(
+            "group limit begins" if is_limited else "group limit ends",
+            extra={
+                "group": notice.group,
+                "limit": progress.limit_count,
+                "running": progress.running_count,
+                "slots": progress.slots_count,
+                "pass_ms": pass_ms and round(pass_ms, 1),
+            },
+        )
+
     def _update_paces(self, group):
         paces = [
             target.pace
--- a/src/waxwinghold/_gateway/tracked_target.py
+++ b/src/waxwinghold/_gateway/tracked_target.py
@@ -142,7 +142,9 @@
         if load is not None and now_ms - load.at_ms < REPORTED_LOAD_AGE_LIMIT_MS:
             # A target with a queue of its own has no free slot.
             in_flight = max(in_flight, load.waiting_count and self.listing.slots_count)
-        return self.listing.slots_count - in_flight
+        free_count = self.listing.slots_count - in_flight
+        room_count = self.progress.room_count(now_ms=now_ms)
+        return free_count if room_count is None else min(free_count, room_count)
 
     def is_usable(self, *, now_ms):
         """Return whether the target can get a request now."""
@@ -231,6 +233,7 @@
         self.rank_notice = notice
         self.last_notice_ms = received_ms
         self._drop_slot_changes(received_ms - IN_TRANSIT_MS)
+        self._update_load()
         return stalled != self.is_stalled(now_ms)
 
     def record_success(self):
@@ -268,6 +271,19 @@
         self._slot_changes.append((now_ms, change))
         # Later notices count the older changes; targets without agents send none.
         self._drop_slot_changes(now_ms - RANK_COUNTS_AGE_LIMIT_MS)
+        if self.rank_notice is not None:
+            self._update_load()
+
+    def _update_load(self):
+        """Tell the group's progress what runs at this target."""
+        slots_count = self.listing.slots_count
+        self.progress.update_load(
+            self.rank_notice.rank,
+            # More cannot run, whatever a notice says.
+            running_count=min(self.rank_notice.running_count, slots_count),
+            own_change_count=sum(change for _, change in self._slot_changes),
+            slots_count=slots_count,
+        )
 
     def _drop_slot_changes(self, until_ms):
         while self._slot_changes and self._slot_changes[0][0] < until_ms:
--- a/src/waxwinghold/platform/entries.py
+++ b/src/waxwinghold/platform/entries.py
@@ -4,6 +4,9 @@
 and ignored; it does not affect other entries.
 """
 
+import math
+from typing import Any
+
 import logbook
 import msgspec
 
@@ -59,8 +62,10 @@
     split: list[_Share] = []
 
 
-class _Engine(_Entry):
+class _Engine(msgspec.Struct):
     sets: int = 0
+    step_ms: Any = 0
+    stride: Any = 0
 
 
 class _Service(_Entry):
@@ -184,7 +189,25 @@
         name=service.name,
         connections_limit_count=service.max_conns,
         grouped=service.engine is not None and service.engine.sets > 0,
+        pass_base_ms=_pass_base_ms(service),
+    )
+
+
+def _pass_base_ms(service):
+    if service.engine is None:
+        return 0.0
+    values = (service.engine.step_ms, service.engine.stride)
+    if all(type(value) in (int, float) and 0 <= value <= 1e6 for value in values):
+        return float(math.prod(values))
+    log.warn(
+        "implausible step_ms or stride ignored",
+        extra={
+            "service": service.name,
+            "step_ms": service.engine.step_ms,
+            "stride": service.engine.stride,
+        },
     )
+    return 0.0
 
 
 def _limits(limits):
--- a/tests/test_platform_entries.py
+++ b/tests/test_platform_entries.py
@@ -81,6 +81,23 @@
         self.assertEqual(decoded.limits.idle_timeout_ms, 5000)
         self.assertEqual(decoded.customers[0].priority, 0)
 
+    def test_the_shortest_pass_follows_from_the_engine(self):
+        for engine, base_ms, is_logged in (
+            ({"step_ms": 4.84, "stride": 7, "sets": 3}, 33.88, False),
+            ({"sets": 3}, 0.0, False),
+            ({"step_ms": -1, "stride": 7, "sets": 3}, 0.0, True),
+            ({"step_ms": "x", "stride": 7, "sets": 3}, 0.0, True),
+            ({"step_ms": 1e300, "stride": 1e300, "sets": 3}, 0.0, True),
+            ({"step_ms": None, "stride": True, "sets": 3}, 0.0, True),
+        ):
+            with self.subTest(engine=engine):
+                self.logs.records.clear()
+                document = self.document(services=[{"name": "s", "engine": engine}])
+                decoded = read_configuration(json.dumps(document).encode())
+                self.assertTrue(decoded.services["s"].grouped)
+                self.assertAlmostEqual(decoded.services["s"].pass_base_ms, base_ms)
+                self.assertEqual(bool(self.logs.records), is_logged)
+
     def test_an_undecodable_configuration_is_ignored_as_a_whole(self):
         odd_route = route_entry(name="r", prefix="/a/", kind="odd", service="s")
         for value in (
