--- a/src/waxwinghold/_decisions/pass_limit.py
+++ b/src/waxwinghold/_decisions/pass_limit.py
@@ -15,9 +15,9 @@
 # Whatever is measured, this share of the slots may be used.
 USED_MIN_RATIO = 0.55
 PASS_SMOOTHING_MS = 600.0  # Some seven passes of a full group.
-# Twice the time between two shifts of the demand would follow them too late. The error
-# of a count of whole passes is 2 % of the mean at 1500 ms and 5 % at 600 ms.
-SLOPE_SMOOTHING_MS = 1500.0
+# Passes of one load differ by an eighth, and the limit by 4 % at 2000 ms. Demand shifts
+# every 2 to 3 s, which a longer time would not follow.
+SLOPE_SMOOTHING_MS = 2000.0
 MEASURED_MIN_MS = 450.0  # Below that, the error is more than a tenth.
 # A longer time between two passes is a stall or an outage of the notices.
 INTERVAL_LIMIT_MS = 1000.0
@@ -25,10 +25,15 @@
 MEASUREMENT_AGE_LIMIT_MS = 5000.0
 PASS_MIN_MS = 2.0  # Shorter passes are not credible.
 STEPS_BACK_LIMIT_COUNT = 20  # Notices of several ranks may arrive out of order.
-# With this share of the limit free, a gateway takes one place without a turn.
-AMPLE_ROOM_RATIO = 0.25
-# The notices take about two turns to show what the others took in this one.
-TAKEN_ROOM_RATIO = 0.5
+# With less than this share of the limit free, only some gateways take a place: the less
+# is free, the fewer. With 0.25, 60 gateways exceed the limit by more than a tenth in one
+# pass of a hundred at 1.4 times the capacity.
+AMPLE_ROOM_RATIO = 0.3
+# One gateway of many seldom gets more requests than this between two notices.
+OWN_SHARE_MIN_COUNT = 2
+# Late requests leave this share of the limit free beyond what they leave in any case:
+# the waiting ones of all gateways would otherwise start together on lagging counts.
+LATE_ROOM_RATIO = 0.15
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -168,7 +173,7 @@
         self.measured_ms = now_ms
 
 
-def may_take(*, room_count, limit_count, own_change_count, gateways_count, share):
+def may_take(*, room_count, limit_count, own_change_count, gateways_count, is_drawn):
     """Return whether a gateway may send one more request to a group with a limit.
 
     The counts are 100 to 200 ms old. If each gateway used all room that it sees, all of
@@ -179,17 +184,18 @@
         own_change_count: Requests that the gateway itself began in the group since the
             last notice, less those that it ended.
         gateways_count: Gateways that send to the group.
-        share: ``share(count)`` returns how many of ``count`` places this gateway gets
-            if each of them goes to one gateway.
+        is_drawn: ``is_drawn(count)`` returns whether this gateway is among ``count``
+            of all gateways that are drawn for a moment.
     """
     if room_count <= 0:
         return False
     # It puts a request in the place of one that it has ended.
     if own_change_count < 0:
         return True
-    if own_change_count == 0 and room_count >= AMPLE_ROOM_RATIO * limit_count:
+    own_share = math.ceil((room_count + own_change_count) / gateways_count)
+    if own_change_count >= max(OWN_SHARE_MIN_COUNT, own_share):
+        return False
+    ample_count = AMPLE_ROOM_RATIO * limit_count
+    if gateways_count == 1 or room_count >= ample_count:
         return True
-    reported_room_count = room_count + own_change_count
-    if gateways_count > 1:
-        reported_room_count = math.ceil(TAKEN_ROOM_RATIO * reported_room_count)
-    return own_change_count < share(reported_room_count)
+    return is_drawn(math.ceil(gateways_count * room_count / ample_count))
--- a/src/waxwinghold/_decisions/target_choice.py
+++ b/src/waxwinghold/_decisions/target_choice.py
@@ -5,6 +5,7 @@
 ``tests.test_decisions_replay`` replay them.
 """
 
+import math
 import random
 import zlib
 
@@ -55,42 +56,41 @@
         turn = zlib.crc32(name.encode()) + int(wall_ms / TURN_MS)
         return turn % self._count() == self._position()
 
-    def share(self, name, count, *, wall_ms):
-        """Return how many of ``count`` places at ``name`` this gateway may take now.
+    def is_drawn(self, name, count, *, wall_ms):
+        """Return whether this gateway is among ``count`` that are drawn for ``name``.
 
-        Each place goes to one gateway. Who gets them is drawn again at each turn.
+        All gateways draw the same ones, and others at each turn.
         """
         turn = zlib.crc32(f"{name} {int(wall_ms / TURN_MS)}".encode())
-        whole_count, rest_count = divmod(count, self._count())
-        order = (self._position() - turn) % self._count()
-        return whole_count + (order < rest_count)
+        return (self._position() - turn) % self._count() < count
 
 
-def total_slots(free_counts, *, now_ms):
+def total_slots(free_counts, *, now_ms, kept_ratio=0.0):
     """Return the slots of some targets and how many of them are free.
 
     In a group with a limit, no more can be used than the limit.
 
     Args:
         free_counts: Free slots of each ``TrackedTarget``.
+        kept_ratio: Share of the limit that does not count as free.
     """
     slots_count = free_count = 0
     limited = {}
     for target, count in free_counts.items():
-        room_count = target.progress.room_count(now_ms=now_ms)
-        if room_count is None:
+        if target.progress.room_count(now_ms=now_ms) is None:
             slots_count += target.listing.slots_count
             free_count += max(0, count)
             continue
-        group_slots, group_free, _ = limited.get(target.progress, (0, 0, 0))
+        group_slots, group_free = limited.get(target.progress, (0, 0))
         limited[target.progress] = (
             group_slots + target.listing.slots_count,
             group_free + max(0, count),
-            max(0, room_count),
         )
-    for progress, (group_slots, group_free, room_count) in limited.items():
+    for progress, (group_slots, group_free) in limited.items():
+        kept_count = math.ceil(kept_ratio * progress.limit_count)
+        room_count = progress.room_count(now_ms=now_ms) - kept_count
         slots_count += min(group_slots, progress.limit_count)
-        free_count += min(group_free, room_count)
+        free_count += max(0, min(group_free, room_count))
     return slots_count, free_count
 
 
@@ -109,7 +109,7 @@
         relative_pace=None,
         gateways_count=None,
         has_turn=None,
-        turn_share=None,
+        is_drawn=None,
         rng=None,
     ):
         self._rng = rng or random.Random()
@@ -141,8 +141,8 @@
         gateways_count: Returns how many gateways select from the same targets.
         has_turn: ``has_turn(name)`` returns whether this gateway may take the last free
             slots of a target now.
-        turn_share: ``turn_share(name, count)`` returns how many of the last ``count``
-            places of a group this gateway may take now.
+        is_drawn: ``is_drawn(name, count)`` returns whether this gateway is among
+            ``count`` that may take the last room of a group now.
         rng: Draws the compared targets and breaks ties, so that gateways do not all
             make the same choice.
     """
@@ -155,7 +155,7 @@
         relative_pace=None,
         gateways_count=None,
         has_turn=None,
-        turn_share=None,
+        is_drawn=None,
         rng=None,
     ):
         self._data_centre = data_centre
@@ -163,7 +163,7 @@
         self._relative_pace = relative_pace or (lambda target: 1.0)
         self._gateways_count = gateways_count or (lambda: 1)
         self._has_turn = has_turn or (lambda name: True)
-        self._turn_share = turn_share or (lambda name, count: count)
+        self._is_drawn = is_drawn or (lambda name, count: True)
         self._rng = rng or random.Random()
 
     def choose(self, targets, *, tried, now_ms):
@@ -199,8 +199,8 @@
     def _with_room(self, usable, now_ms):
         """Return, by group with a limit, those of ``usable`` that may get a request.
 
-        Turns at the single targets are not needed there: the room of the group is
-        shared in turns, and is less than the free slots of its targets.
+        Turns at the single targets are not needed there: only some gateways take the
+        last room of the group, and it is less than the free slots of its targets.
         """
         with_room = {}
         for target in usable:
@@ -218,7 +218,7 @@
                 limit_count=progress.limit_count,
                 own_change_count=progress.own_change_count,
                 gateways_count=self._gateways_count(),
-                share=lambda count, group=group: self._turn_share(group, count),
+                is_drawn=lambda count, group=group: self._is_drawn(group, count),
             )
             with_room[progress] = [target] if takes else []
         return with_room
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -4,6 +4,7 @@
 import random
 from dataclasses import dataclass
 
+from .._decisions.pass_limit import LATE_ROOM_RATIO
 from .._decisions.request_limits import may_wait
 from .._decisions.target_choice import total_slots
 from .._decisions.target_signals import retry_after_pause_ms
@@ -267,7 +268,9 @@
     free_counts = {
         target: max(0, target.free_slots_count(now_ms=now_ms)) for target in usable
     }
-    slots_count, free_count = total_slots(free_counts, now_ms=now_ms)
+    slots_count, free_count = total_slots(
+        free_counts, now_ms=now_ms, kept_ratio=LATE_ROOM_RATIO
+    )
     return ServiceState(
         slots_count=slots_count,
         free_ratio=free_count / slots_count if slots_count else 0.0,
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -158,7 +158,7 @@
                     has_turn=lambda name: self._turns.has(
                         name, wall_ms=self.clock.wall_ms()
                     ),
-                    turn_share=lambda name, count: self._turns.share(
+                    is_drawn=lambda name, count: self._turns.is_drawn(
                         name, count, wall_ms=self.clock.wall_ms()
                     ),
                 ),
