--- a/src/waxwinghold/_decisions/pass_limit.py
+++ b/src/waxwinghold/_decisions/pass_limit.py
@@ -25,8 +25,8 @@
 MEASUREMENT_AGE_LIMIT_MS = 5000.0
 PASS_MIN_MS = 2.0  # Shorter passes are not credible.
 STEPS_BACK_LIMIT_COUNT = 20  # Notices of several ranks may arrive out of order.
-# With less than this share of the limit free, only some gateways take a place: the less
-# is free, the fewer. With 0.25, 60 gateways exceed the limit by more than a tenth in one
+# With less than this share of the limit free, only some gateways take a place, fewer
+# the less is free. With 0.25, 60 gateways exceed the limit by more than a tenth in one
 # pass of a hundred at 1.4 times the capacity.
 AMPLE_ROOM_RATIO = 0.3
 # One gateway of many seldom gets more requests than this between two notices.
