--- a/tests/test_pass_limit.py
+++ b/tests/test_pass_limit.py
@@ -4,6 +4,7 @@
 import random
 import unittest
 
+import logbook
 import msgspec
 
 from waxwinghold._decisions.pass_limit import (
@@ -314,6 +315,30 @@
         self.pool.update_rank(msgspec.structs.replace(notice, started_ms=2))
         self.assertLessEqual(self.pool.get("w0").progress.running_count, 10)
 
+    def test_a_limit_that_comes_and_goes_is_logged_once_a_second(self):
+        with logbook.TestHandler().applicationbound() as logs:
+            for number in range(60):
+                self.pool.pass_goals = {"models": GOAL} if number % 2 else {}
+                self.notify(self.RUNNING_COUNT)
+        lines = [
+            record.message
+            for record in logs.records
+            if record.message.startswith("group limit")
+        ]
+        self.assertIn("group limit begins", lines)
+        self.assertIn("group limit ends", lines)
+        self.assertLessEqual(len(lines), 60 * NOTICE_INTERVAL_MS / 1000 + 1)
+
+    def test_the_gauges_show_the_limit_and_the_pass(self):
+        self.assertEqual(self.pool.lowest_running_limit(), 0)
+        self.assertEqual(self.pool.longest_pass_ms(), 0)
+        self.notify(self.RUNNING_COUNT, length_ms=3000.0)
+        self.assertGreater(self.pool.lowest_running_limit(), 0)
+        pass_ms = BASE_MS + self.SLOPE_MS * self.RUNNING_COUNT
+        self.assertAlmostEqual(
+            self.pool.longest_pass_ms(), pass_ms, delta=0.2 * pass_ms
+        )
+
     def test_a_new_epoch_begins_with_new_counts(self):
         self.notify(self.RUNNING_COUNT, length_ms=3000.0)
         for number in range(self.RANKS_COUNT):
