--- a/src/waxwinghold/_decisions/target_choice.py
+++ b/src/waxwinghold/_decisions/target_choice.py
@@ -5,10 +5,12 @@
 ``tests.test_decisions_replay`` replay them.
 """
 
+import math
 import random
 import zlib
 
 from .._registry import Registry
+from .pass_limit import may_take
 
 # At equal load, a target that fails all requests costs 1 + 4 times as much.
 FAILURE_WEIGHT = 4.0
@@ -56,6 +58,43 @@
         turn = zlib.crc32(name.encode()) + int(wall_ms / TURN_MS)
         return turn % self._count() == self._position()
 
+    def is_drawn(self, name, count, *, wall_ms):
+        """Return whether this gateway is among ``count`` that are drawn for ``name``.
+
+        All gateways draw the same ones, and others at each turn.
+        """
+        turn = zlib.crc32(f"{name} {int(wall_ms / TURN_MS)}".encode())
+        return (self._position() - turn) % self._count() < count
+
+
+def total_slots(free_counts, *, now_ms, kept_ratio=0.0):
+    """Return the slots of some targets and how many of them are free.
+
+    In a group with a limit, no more can be used than the limit.
+
+    Args:
+        free_counts: Free slots of each ``TrackedTarget``.
+        kept_ratio: Share of the limit that does not count as free.
+    """
+    slots_count = free_count = 0
+    limited = {}
+    for target, count in free_counts.items():
+        if target.progress.room_count(now_ms=now_ms) is None:
+            slots_count += target.listing.slots_count
+            free_count += max(0, count)
+            continue
+        group_slots, group_free = limited.get(target.progress, (0, 0))
+        limited[target.progress] = (
+            group_slots + target.listing.slots_count,
+            group_free + max(0, count),
+        )
+    for progress, (group_slots, group_free) in limited.items():
+        kept_count = math.ceil(kept_ratio * progress.limit_count)
+        room_count = progress.room_count(now_ms=now_ms) - kept_count
+        slots_count += min(group_slots, progress.limit_count)
+        free_count += max(0, min(group_free, room_count))
+    return slots_count, free_count
+
 
 @target_policy("fewest_own")
 class FewestOwn:
@@ -72,6 +111,7 @@
         relative_pace=None,
         gateways_count=None,
         has_turn=None,
+        is_drawn=None,
         rng=None,
     ):
         self._rng = rng or random.Random()
@@ -103,6 +143,8 @@
         gateways_count: Returns how many gateways select from the same targets.
         has_turn: ``has_turn(name)`` returns whether this gateway may take the last free
             slots of a target now.
+        is_drawn: ``is_drawn(name, count)`` returns whether this gateway is among
+            ``count`` that may take the last room of a group now.
         rng: Draws the compared targets and breaks ties, so that gateways do not all
             make the same choice.
     """
@@ -115,6 +157,7 @@
         relative_pace=None,
         gateways_count=None,
         has_turn=None,
+        is_drawn=None,
         rng=None,
     ):
         self._data_centre = data_centre
@@ -122,6 +165,7 @@
         self._relative_pace = relative_pace or (lambda target: 1.0)
         self._gateways_count = gateways_count or (lambda: 1)
         self._has_turn = has_turn or (lambda name: True)
+        self._is_drawn = is_drawn or (lambda name, count: True)
         self._rng = rng or random.Random()
 
     def choose(self, targets, *, tried, now_ms):
@@ -138,8 +182,9 @@
             if target.listing.name not in tried and target.is_usable(now_ms=now_ms)
         }
         usable = [target for target, count in free_counts.items() if count > 0]
-        slots_count = sum(target.listing.slots_count for target in free_counts)
-        free_count = sum(free_counts[target] for target in usable)
+        slots_count, free_count = total_slots(free_counts, now_ms=now_ms)
+        limited = self._with_room(usable, now_ms)
+        usable = [target for target in usable if target.progress not in limited]
         if free_count < SCARCE_FREE_RATIO * slots_count:
             usable = [
                 target
@@ -147,11 +192,39 @@
                 if target.has_released_slot(now_ms=now_ms)
                 or self._has_turn(target.listing.name)
             ]
+        usable += [target for targets in limited.values() for target in targets]
         if not usable:
             return None
         compared = self._compared(usable)
         return min(compared, key=lambda target: self._cost(target, now_ms))
 
+    def _with_room(self, usable, now_ms):
+        """Return, by group with a limit, those of ``usable`` that may get a request.
+
+        Turns at the single targets are not needed there: only some gateways take the
+        last room of the group, and it is less than the free slots of its targets.
+        """
+        with_room = {}
+        for target in usable:
+            progress = target.progress
+            if progress in with_room:
+                if with_room[progress]:
+                    with_room[progress].append(target)
+                continue
+            room_count = progress.room_count(now_ms=now_ms)
+            if room_count is None:
+                continue
+            group = target.rank_notice.group
+            takes = may_take(
+                room_count=room_count,
+                limit_count=progress.limit_count,
+                own_change_count=progress.own_change_count,
+                gateways_count=self._gateways_count(),
+                is_drawn=lambda count, group=group: self._is_drawn(group, count),
+            )
+            with_room[progress] = [target] if takes else []
+        return with_room
+
     def _compared(self, usable):
         """Return a random sample of ``usable``; all of it for few gateways."""
         share = len(usable) / self._gateways_count()
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -4,7 +4,9 @@
 import random
 from dataclasses import dataclass
 
+from .._decisions.pass_limit import LATE_ROOM_RATIO
 from .._decisions.request_limits import may_wait
+from .._decisions.target_choice import total_slots
 from .._decisions.target_signals import retry_after_pause_ms
 from .._decisions.waiting import (
     FirstAnswerTime,
@@ -322,9 +324,11 @@
     if not usable:
         # Cold targets get permits soon.
         usable = [target for target in targets if target.is_working(now_ms=now_ms)]
-    slots_count = sum(target.listing.slots_count for target in usable)
-    free_count = sum(
-        max(0, target.free_slots_count(now_ms=now_ms)) for target in usable
+    free_counts = {
+        target: max(0, target.free_slots_count(now_ms=now_ms)) for target in usable
+    }
+    slots_count, free_count = total_slots(
+        free_counts, now_ms=now_ms, kept_ratio=LATE_ROOM_RATIO
     )
     return ServiceState(
         slots_count=slots_count,
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -98,6 +98,10 @@
                 now_ms=self.clock.now_ms()
             ),
         )
+        self.metrics.gauge(
+            "group_running_limit", lambda: self.target_pool.lowest_running_limit()
+        )
+        self.metrics.gauge("pass_ms", lambda: self.target_pool.longest_pass_ms())
         self.peers = Peers(
             clock=clock,
             settings=settings,
@@ -175,6 +179,9 @@
                     has_turn=lambda name: self._turns.has(
                         name, wall_ms=self.clock.wall_ms()
                     ),
+                    is_drawn=lambda name, count: self._turns.is_drawn(
+                        name, count, wall_ms=self.clock.wall_ms()
+                    ),
                 ),
                 admission_policy=queue_policy.make(
                     "on_time_first",
--- a/src/waxwinghold/_gateway/model.py
+++ b/src/waxwinghold/_gateway/model.py
@@ -86,6 +86,8 @@
         cold_ms: How long a target is cold after a start, in milliseconds.
         cold_per_second: Requests a second that a cold target takes from all gateways
             together; 0 if cold targets need no care.
+        pass_base_ms: Length of a pass of such a group with hardly any request; 0 if it
+            is unknown.
     """
 
     name: str
@@ -93,6 +95,7 @@
     grouped: bool = False
     cold_ms: float = 0.0
     cold_per_second: float = 0.0
+    pass_base_ms: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -4,6 +4,7 @@
 
 import logbook
 
+from .._decisions.pass_limit import pass_goals
 from .routes import RouteTable
 
 log = logbook.Logger("published")
@@ -92,6 +93,7 @@
             for name, service in configuration.services.items()
         }
         self._target_pool.cold_tracking.configure(configuration.services)
+        self._target_pool.pass_goals = pass_goals(configuration)
         log.info(
             "configuration applied",
             extra={
