--- a/tests/test_gateway_second_copies.py
+++ b/tests/test_gateway_second_copies.py
@@ -570,7 +570,7 @@
         fixture = await self.fixture("slow", "whole")
         fixture.workers[0].event_ms = 40.0
         queue = fixture.gateway.admission_queue("models")
-        queue._line._entries.append(mock.Mock())
+        queue._line._entries.append(mock.Mock(**{"request.priority": 0}))
         queue.serve_queued = lambda: None
         fixture.gateway.target_pool.listeners.clear()
         attempts = mock.patch.object(queue, "acquire", self.slot_of(fixture, "w0"))
@@ -584,7 +584,7 @@
         async def acquire(request, *, tried):
             target = fixture.gateway.target_pool.get(name)
             target.acquire_slot()
-            return SimpleNamespace(target=target, is_late=True)
+            return SimpleNamespace(target=target, request=request, is_late=True)
 
         return acquire
 
