--- a/src/waxwinghold/_decisions/target_choice.py
+++ b/src/waxwinghold/_decisions/target_choice.py
@@ -116,7 +116,7 @@
     ):
         self._rng = rng or random.Random()
 
-    def choose(self, targets, *, tried, now_ms):
+    def choose(self, targets, *, tried, now_ms, needs_turn=True):
         """Return one of ``targets`` whose name is not in ``tried``, or ``None``."""
         usable = [target for target in targets if target.listing.name not in tried]
         if not usable:
@@ -168,13 +168,14 @@
         self._is_drawn = is_drawn or (lambda name, count: True)
         self._rng = rng or random.Random()
 
-    def choose(self, targets, *, tried, now_ms):
+    def choose(self, targets, *, tried, now_ms, needs_turn=True):
         """Return the best of ``targets`` with a free slot, or ``None``.
 
         Args:
             targets: The service's ``TrackedTarget`` objects.
             tried: Names of the targets that this request was already sent to.
             now_ms: Time in milliseconds of the gateway's clock.
+            needs_turn: Whether the last free slots are taken in turns.
         """
         free_counts = {
             target: target.free_slots_count(now_ms=now_ms)
@@ -185,7 +186,7 @@
         slots_count, free_count = total_slots(free_counts, now_ms=now_ms)
         limited = self._with_room(usable, now_ms)
         usable = [target for target in usable if target.progress not in limited]
-        if free_count < SCARCE_FREE_RATIO * slots_count:
+        if needs_turn and free_count < SCARCE_FREE_RATIO * slots_count:
             usable = [
                 target
                 for target in usable
--- a/src/waxwinghold/_gateway/admission_queue.py
+++ b/src/waxwinghold/_gateway/admission_queue.py
@@ -302,13 +302,15 @@
         )
         return NoFreeSlotError(reason, retry_after_ms=retry_after_ms)
 
-    def _choose_target(self, tried, now_ms):
+    def _choose_target(self, tried, now_ms, needs_turn=True):
         targets = self._target_pool.of_service(self.service)
         permits = self._target_pool.permits
         if permits.has_limits:
             untried = [target for target in targets if target.listing.name not in tried]
             permits.want(wanted_permits(untried, permits=permits, now_ms=now_ms))
-        return self._selection_policy.choose(targets, tried=tried, now_ms=now_ms)
+        return self._selection_policy.choose(
+            targets, tried=tried, now_ms=now_ms, needs_turn=needs_turn
+        )
 
 
 def _take(slot, target):
