Send nothing to silent ranks of a group that its other ranks call closed

A cut takes some ranks of a group away. Their notices stop, the other ranks report the group as closed, and no rank makes a step. After 1 s without a notice, gateways took the silent ranks for usable again: their slots looked free while those of the other groups were taken.

A target without recent notices now takes its state from the recent notices of the other ranks of its group. If no rank of the group tells anything, it may be tried as before.

--- a/src/waxwinghold/_gateway/group_progress.py
+++ b/src/waxwinghold/_gateway/group_progress.py
@@ -15,6 +15,7 @@
 
     Attributes:
         step: Number of the last step that a notice named.
+        is_open: Whether the group makes steps, by the last notice of any rank.
         last_step_ms: When the group was last seen to make a step or to be idle.
         running_count: Requests that run in the group, by the latest notices.
         own_change_count: Requests that this gateway began in the group since those
@@ -29,6 +30,8 @@
         self._busy_ms = {}
         self.epoch = None
         self.step = None
+        self.is_open = True
+        self._state_ms = 0.0
         self.last_step_ms = 0.0
         self._loads = {}  # The three counts of each rank.
         self.running_count = self.own_change_count = self.slots_count = 0
@@ -38,6 +41,7 @@
 
     def update(self, notice, *, now_ms):
         """Apply the ``RankNotice`` of any rank of the group."""
+        self.is_open, self._state_ms = notice.is_open, now_ms
         if notice.epoch != self.epoch:
             self.epoch, self.step = notice.epoch, None
             self._busy_ms.clear()
@@ -97,6 +101,14 @@
         stalled_ms = notice_ms - self.last_step_ms
         return stalled_ms > STALL_LIMIT_MS and self._is_busy(notice_ms)
 
+    def is_closed(self, *, now_ms):
+        """Return whether recent notices of other ranks say that the group is not open.
+
+        A rank that is cut off closes its group, and its own notices stop.
+        """
+        age_ms = now_ms - self._state_ms
+        return not self.is_open and age_ms <= RANK_STATE_AGE_LIMIT_MS
+
     def _is_busy(self, now_ms):
         # A rank whose agent fell silent may be idle by now.
         oldest_ms = now_ms - RANK_STATE_AGE_LIMIT_MS
--- a/src/waxwinghold/_gateway/tracked_target.py
+++ b/src/waxwinghold/_gateway/tracked_target.py
@@ -197,8 +197,11 @@
         if self.is_evacuated or self.is_leaving(now_ms=now_ms):
             return True
         notice = self.rank_notice
-        has_state = notice is not None and not self.is_silent(now_ms)
-        return has_state and not notice.is_open
+        if notice is None:
+            return False
+        if self.is_silent(now_ms):
+            return self.progress.is_closed(now_ms=now_ms)
+        return not notice.is_open
 
     def is_silent(self, now_ms):
         """Return whether the notices of the target's rank agent have stopped."""
@@ -208,13 +211,15 @@
         )
 
     def is_stalled(self, now_ms):
-        """Return whether recent notices show that the target's group is stalled."""
+        """Return whether recent notices show that the target's group is stalled.
+
+        Of a target whose own notices have stopped, those of the other ranks tell.
+        """
         rank_notice = self.rank_notice
-        if (
-            rank_notice is None
-            or now_ms - self.last_notice_ms > RANK_STATE_AGE_LIMIT_MS
-        ):
+        if rank_notice is None:
             return False
+        if now_ms - self.last_notice_ms > RANK_STATE_AGE_LIMIT_MS:
+            return self.progress.is_closed(now_ms=now_ms)
         if not rank_notice.is_open:
             return True
         return self.progress.is_stalled(notice_ms=self.last_notice_ms)
