Set no limit where passes are too long at any number of requests

The longest pause of a stream is about a fifth longer than the mean pass, so streams are late from 0.85 of the gap goal on, not only from the goal on.

test_a_limit_leaves_more_than_half_of_the_slots_in_use took a slope at which passes last 113 ms with the least number of requests, which is without a limit now; it takes one of 96 ms. test_a_group_that_is_late_in_any_case_has_no_limit checks 104 ms too.

--- a/src/waxwinghold/_decisions/pass_limit.py
+++ b/src/waxwinghold/_decisions/pass_limit.py
@@ -12,6 +12,8 @@
 # stream has to be below the goal: streams at a mean pass of 101 ms mostly had one above
 # 120 ms, and hardly any at 85 ms.
 GOAL_SHARE = 0.75
+# Above this share of the goal, most streams are late whatever their number.
+LATE_SHARE = 0.85
 # Whatever is measured, this share of the slots may be used.
 USED_MIN_RATIO = 0.55
 PASS_SMOOTHING_MS = 600.0  # Some seven passes of a full group.
@@ -148,7 +150,8 @@
         slope_ms = beyond_ms / self._requests_count
         least_count = math.ceil(USED_MIN_RATIO * slots_count)
         # All streams are late then, and serving late is better than rejecting.
-        if goal.base_ms + slope_ms * least_count > goal.gap_goal_ms:
+        least_ms = goal.base_ms + slope_ms * least_count
+        if least_ms > LATE_SHARE * goal.gap_goal_ms:
             return None
         count = int((GOAL_SHARE * goal.gap_goal_ms - goal.base_ms) / slope_ms)
         return None if count >= slots_count else max(least_count, count)
