Switch the limit of running requests on by a setting, off by default

The limit was on wherever routes have a gap goal. Without limit_passes, no loads are counted and the replays and the gateways act as before.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -76,6 +76,7 @@
         self.metrics = Metrics(process=settings.name)
         self.metrics.gauge("overlong_answers", lambda: answer_sizes.overlong_count)
         self.target_pool = TargetPool(clock=clock)
+        self.target_pool.limits_passes = settings.limit_passes
         self.published = PublishedState(
             clock=clock, target_pool=self.target_pool, grace_ms=settings.list_grace_ms
         )
--- a/src/waxwinghold/_gateway/group_progress.py
+++ b/src/waxwinghold/_gateway/group_progress.py
@@ -21,6 +21,7 @@
         own_change_count: Requests that this gateway began in the group since those
             notices, less those that it ended.
         slots_count: Slots of the ranks that sent notices.
+        counts_loads: Whether the three counts are kept; they are needed for a limit.
         meter: The ``PassMeter`` of the group.
         limit_count: How many requests may run in the group; ``None`` for no limit.
     """
@@ -35,6 +36,7 @@
         self.last_step_ms = 0.0
         self._loads = {}  # The three counts of each rank.
         self.running_count = self.own_change_count = self.slots_count = 0
+        self.counts_loads = False
         self._notice_ms = 0.0
         self.meter = PassMeter()
         self.limit_count = None
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -93,7 +93,8 @@
             for name, service in configuration.services.items()
         }
         self._target_pool.cold_tracking.configure(configuration.services)
-        self._target_pool.pass_goals = pass_goals(configuration)
+        if self._target_pool.limits_passes:
+            self._target_pool.pass_goals = pass_goals(configuration)
         log.info(
             "configuration applied",
             extra={
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -14,6 +14,7 @@
     "peers_port",
     "log_level",
     "metrics_port",
+    "limit_passes",
 )
 
 
@@ -50,6 +51,8 @@
         second_copies_percentile: A request is slow once it is unanswered for longer
             than this percentage of the recent requests of its kind were; from 50 to
             below 100.
+        limit_passes: Whether the running requests of a group are limited so that its
+            passes stay below the gap goal of the routes.
         log_level: The name of a logbook level.
         metrics_port: TCP port of the metrics over HTTP; 0 for no metrics.
         fair_customers: Whether customers above an equal share of the recent starts
@@ -74,6 +77,7 @@
     second_copies_ratio: float = 0.0
     second_copies_window_s: float = 60.0
     second_copies_percentile: float = 95.0
+    limit_passes: bool = False
     log_level: str = "INFO"
     metrics_port: int = 0
     fair_customers: bool = False
--- a/src/waxwinghold/_gateway/targets.py
+++ b/src/waxwinghold/_gateway/targets.py
@@ -22,6 +22,7 @@
     Attributes:
         listeners: Functions that are called when a slot may have become free.
         grouped_services: Names of the services whose targets are ranks of groups.
+        limits_passes: Whether groups have a limit of running requests.
         pass_goals: The ``PassGoal`` of services whose groups have a limit, by service.
         connection_limits: How many connections a target accepts from all gateways
             together, by service.
@@ -38,6 +39,7 @@
         self._targets_by_address = {}
         self.listeners = []
         self.grouped_services = frozenset()
+        self.limits_passes = False
         self.pass_goals = {}
         self.connection_limits = {}
         self.signals = TargetSignals()
@@ -146,6 +148,7 @@
         )
         previous = target.rank_notice
         target.progress = self._progress.setdefault(notice.group, target.progress)
+        target.progress.counts_loads = target.listing.service in self.pass_goals
         if target.update_rank(notice, now_ms=now_ms):
             self._log_stall(target, now_ms)
             self.notify_listeners()
@@ -182,6 +185,7 @@
             if entry is None:
                 continue
             member = target
+            target.progress.counts_loads = target.listing.service in self.pass_goals
             previous_pace = target.pace
             if target.update_group(notice, entry, now_ms=now_ms):
                 self._log_stall(target, now_ms)
--- a/src/waxwinghold/_gateway/tracked_target.py
+++ b/src/waxwinghold/_gateway/tracked_target.py
@@ -306,6 +306,8 @@
 
     def _update_load(self):
         """Tell the group's progress what runs at this target."""
+        if not self.progress.counts_loads:
+            return
         slots_count = self.listing.slots_count
         self.progress.update_load(
             self.rank_notice.rank,
--- a/tests/test_pass_limit.py
+++ b/tests/test_pass_limit.py
@@ -191,6 +191,7 @@
             version=1, routes=tuple(routes), services={"models": service}
         )
         pool = TargetPool(clock=FakeClock())
+        pool.limits_passes = True
         published = PublishedState(clock=FakeClock(), target_pool=pool, grace_ms=0.0)
         published.apply_configuration(configuration)
         return pool.pass_goals
