--- a/src/waxwinghold_bench/decision_replay/pass_world.py
+++ b/src/waxwinghold_bench/decision_replay/pass_world.py
@@ -34,11 +34,11 @@
     SLOTS_COUNT,
     is_counted,
 )
+from .patterns import GOAL_MS
 from .world import (
     ATTEMPTS_LIMIT_COUNT,
     DEADLINE_MS,
     GAP_MS,
-    GOAL_MS,
     HONOURED_SHARE,
     TARGET_QUEUE_LIMIT_COUNT,
     SimulatedClock,
