State what a longer horizon of priorities gave in the replays

Cause: the comment at HORIZON_MS said that 400 ms gave the most urgent kind nothing.

Ruled out: a change of behaviour, as no statement differs.

--- a/src/waxwinghold/_decisions/urgency.py
+++ b/src/waxwinghold/_decisions/urgency.py
@@ -13,8 +13,8 @@
 BUCKET_MS = WINDOW_MS / BUCKETS_COUNT
 MS_PER_SECOND = 1000.0
 # Counts of other gateways lag by 0.1 to 0.2 s, and a slot has to become free meanwhile.
-# In replays, 400 ms cost the least urgent kind 0.06 of its credit and gave the most
-# urgent one nothing.
+# In replays, 400 ms cost the least urgent kind at least 0.06 of its credit and gave the
+# most urgent one 0.02 at most.
 HORIZON_MS = 300.0
 # While more is free, nothing is reserved.
 SCARCE_FREE_RATIO = 0.25
