Show stale configuration behind a reader that is cut off from the store

Cause: followers of a zone's reader believe its copy up to an age of 2.5 s, chosen for configurations that apply within 3 s; config-apply-ms is 2 s.

--- a/review/common.py
+++ b/review/common.py
@@ -207,6 +207,7 @@
         self.name = name
         self.record = record
         self.work_s = work_s
+        self.born_ms = int(time.time() * 1000)
         self.runs = []
 
     async def serve(self, reader, writer):
@@ -239,7 +240,7 @@
             "state": state,
             "cold-left-ms": 0,
             "seq": 1,
-            "born": int(time.time() * 1000),
+            "born": self.born_ms,
         }
 
 
