Show a zone that refuses everything after a storm of large configurations

Cause: the answer to a watch holds every version since the last one; where it takes longer than its time limit, the same call is repeated until the store drops the history.

--- a/review/common.py
+++ b/review/common.py
@@ -18,6 +18,7 @@
 ROOT = pathlib.Path(__file__).resolve().parents[1]
 HOST = "shop.example"
 KEY = "key-of-tenant-a"
+HISTORY_S = 20  # Of the store: older events are dropped.
 
 
 def trouble():
@@ -124,6 +125,7 @@
         super().__init__()
         self._items = {}
         self._history = []
+        self._dropped_revision = 0
         self._revision = 10
         self._changed = asyncio.Event()
 
@@ -148,7 +150,7 @@
         self._add({"key": key, "revision": self._revision, "deleted": True})
 
     def _add(self, event):
-        self._history.append(event)
+        self._history.append((time.monotonic(), event))
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -172,18 +174,24 @@
                 document = await self._watch(fields)
             await asyncio.sleep(0.004)
             headers = [("Content-Type", "application/json")]
-            body = json.dumps(document).encode()
-            writer.write(message("HTTP/1.1 200 OK", headers, body))
+            body = json.dumps(document or {}).encode()
+            status = "410 Gone" if document is None else "200 OK"
+            writer.write(message(f"HTTP/1.1 {status}", headers, body))
             await writer.drain()
 
     async def _watch(self, fields):
+        """Return the events after a revision; ``None`` if the history is gone."""
         after = int(fields["after"])
         prefix = fields["prefix"]
         end_s = time.monotonic() + int(fields["wait-ms"]) / 1000
         while True:
+            while self._history and time.monotonic() - self._history[0][0] > HISTORY_S:
+                self._dropped_revision = self._history.pop(0)[1]["revision"]
+            if after < self._dropped_revision:
+                return None
             events = [
                 event
-                for event in self._history
+                for _, event in self._history
                 if event["revision"] > after and event["key"].startswith(prefix)
             ]
             left_s = end_s - time.monotonic()
