End requests whose sends end together, and those held past their end

Cause: the first send of a stream passed on an event, which cancelled the second one, and failed in the same turn of the event loop. _check_ended went through the two in turn. At the failed one it decided nothing, as the cancelled one still counted as running; at the cancelled one it decided nothing either. No send was left to set the event that the request waited for, and that wait had no time limit.

Ruled out: the admission queue, reads from targets, second copies (each has a limit), and the entry's attempts, which are made one after another.

Change: all ended sends are handled before it is decided whether one is left. The wait for sends ends 200 ms after the request does, for all kinds of request, unless the answer is complete and only its caller is slow; that is logged and counted (overdue_requests), which tells the two causes, a lost wake-up and a send without an end, apart.

--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -42,6 +42,9 @@
 )
 
 STALLED_TARGET_AVOID_MS = 1000.0  # A group that lost a rank stalls for seconds.
+# After a request's end, time to pass on what arrived while the process was frozen.
+END_GRACE_MS = 200.0
+MS_PER_SECOND = 1000
 
 
 @dataclass(kw_only=True, eq=False)
@@ -102,6 +105,8 @@
         self._may_have_arrived = False
         self._has_token = False
         self._failed_answer = None
+        # The error of the send that ended last, or of the last one that was not sent.
+        self._failure = None
         self._progress = AnswerProgress(last_event_id=admitted.call.last_event_id)
         self._running = []
         self._changed = asyncio.Event()
@@ -123,18 +128,59 @@
         self._begin_send()
         try:
             while True:
-                await self._changed.wait()
-                self._changed.clear()
+                if not await self._wait_for_change():
+                    await self._end_overdue()
                 if self._check_ended():
                     return
                 self._join_stuck_sends()
         finally:
-            for send in self._running:
-                send.task.cancel()
-            if self._running:
-                await asyncio.wait([send.task for send in self._running])
+            await self._cancel_sends()
             self._hedge.end()
 
+    async def _wait_for_change(self):
+        """Wait until a send has ended or is stuck, and return whether one has or is.
+
+        An answer that is complete is passed on also after the request's end; the
+        caller's connection limits how long that takes.
+        """
+        limit_ms = max(0.0, self._left_ms())
+        while not await self._changes_within(limit_ms):
+            if limit_ms == END_GRACE_MS and not self._progress.is_complete:
+                return False
+            limit_ms = END_GRACE_MS
+        return True
+
+    async def _changes_within(self, limit_ms):
+        try:
+            async with asyncio.timeout(limit_ms / MS_PER_SECOND):
+                await self._changed.wait()
+        except TimeoutError:
+            return False
+        self._changed.clear()
+        return True
+
+    async def _end_overdue(self):
+        """End the sends that have not ended with the request."""
+        self._gateway.metrics.count("overdue_requests", label=self._route.kind.value)
+        log.warn(
+            "request held past its end",
+            extra={
+                "request": self._call.request_id,
+                "targets": [
+                    send.target and send.target.listing.name for send in self._running
+                ],
+                "left_ms": round(self._left_ms()),
+            },
+        )
+        await self._cancel_sends()
+        self._failure = SilentTargetError("no answer until the request's end")
+
+    async def _cancel_sends(self):
+        for send in self._running:
+            send.task.cancel()
+        if self._running:
+            await asyncio.wait([send.task for send in self._running])
+
     def _begin_send(self, *, slot=None):
         send = RunningSend(uses_budget=self._has_token, slot=slot)
         self._has_token = False
@@ -200,34 +246,53 @@
     def _check_ended(self):
         """Handle the sends that have ended, and return whether one has answered.
 
+        If none is left, send once more if that is allowed.
+
         Raises:
             RequestError, SendError: The last send failed and there is no other.
         """
-        for send in [send for send in self._running if send.task.done()]:
-            self._running.remove(send)
-            if send.task.cancelled():
-                continue
-            try:
-                failure = send.task.result()
-            except RequestError as error:
-                if not self._running:
-                    raise self._error_without_send(error) from error
+        # Several may have ended in one turn of the event loop.
+        ended = [send for send in self._running if send.task.done()]
+        self._running = [send for send in self._running if not send.task.done()]
+        answers = [send for send in ended if self._is_answered_by(send)]
+        if not answers and not self._running:
+            self._replace_last_send()
+        return bool(answers)
+
+    def _is_answered_by(self, send):
+        """Return whether an ended send has answered; otherwise record why not."""
+        if send.task.cancelled():
+            return False
+        try:
+            failure = send.task.result()
+        except RequestError as error:
+            self._failure = error
+            if self._running:
                 log.info(
                     "no further send", extra=self._failure_details(send.target, error)
                 )
                 self._keep_single()
-                continue
-            if failure is None:
-                return True
-            if isinstance(failure, FailedAnswerError):
-                self._failed_answer = failure
-            if self._running:
-                continue
-            if not self._may_send_again(failure):
-                raise self._final_error(failure)
-            self._begin_send()
+            return False
+        if failure is None:
+            return True
+        self._failure = failure
+        if isinstance(failure, FailedAnswerError):
+            self._failed_answer = failure
         return False
 
+    def _replace_last_send(self):
+        """Send once more after all sends have ended without an answer.
+
+        Raises:
+            RequestError, SendError: That is not allowed.
+        """
+        failure = self._failure
+        if isinstance(failure, RequestError):
+            raise self._error_without_send(failure) from failure
+        if not self._may_send_again(failure):
+            raise self._final_error(failure)
+        self._begin_send()
+
     def _join_stuck_sends(self):
         """Send once more beside the running sends if none of them makes progress."""
         if not self._running or any(send.stuck_error is None for send in self._running):
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -82,9 +82,11 @@
     Attributes:
         started: Whether the head of the stream was passed on.
         last_event_id: Id of the last event that the caller has, or ``None``.
+        is_complete: Whether the end of the answer has arrived from a target.
     """
 
     started: bool = False
+    is_complete: bool = False
     last_event_id: int | None = None
 
 
@@ -231,6 +233,7 @@
             raise FailedAnswerError(head=head, body=body)
         headers = self._gateway.codec.answer_headers(head)
         self._on_progress()
+        self._progress.is_complete = True
         await self._answer.send_whole(status=head.status, headers=headers, body=body)
 
     async def _pass_stream(self, target, connection, head):
@@ -257,6 +260,7 @@
             # A target that crashes before its first event ends its connection too.
             raise ConnectionLostError("the connection ended before the first event")
         self._on_progress(ends=True)
+        self._progress.is_complete = True
         await self._begin_stream(head)
         await self._answer.finish()
 
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -309,6 +309,14 @@
         writer.write(b"0\r\n\r\n")
         return True
 
+    async def _answer_stream_paused_cut(self, request, writer):
+        """Send an event and a part of the next one after a pause, and close at once."""
+        await self._stream(request, writer, stop_after=2, end=False)
+        await asyncio.sleep(self.pause_s)
+        writer.write(http_chunk(stream_event(3)) + http_chunk(stream_event(4)[:9]))
+        await writer.drain()
+        return False
+
     async def _answer_stream_unframed(self, request, writer):
         """Send a whole stream that ends with its connection."""
         await self._stream(
--- /dev/null
+++ b/tests/test_gateway_request_ends.py
@@ -0,0 +1,138 @@
+"""Tests that each request has a final answer soon after its end."""
+
+import asyncio
+from unittest import mock
+
+import logbook
+
+from waxwinghold._gateway.sending import SendAttempt
+
+from .support.gateway import configuration, standard_routes
+from .test_gateway_silent_targets import SilentTargetCase
+
+LATE_S = 0.5  # A final answer may come this late after the route's time-out.
+TIMEOUT_MS = 600
+PATHS = {"safe": "/safe/a", "unsafe": "/unsafe/a", "stream": "/stream/a"}
+
+
+def routes_with(**fields):
+    """Return the standard routes with ``fields`` changed in each."""
+    return [{**route, **fields} for route in standard_routes()]
+
+
+class RequestEndCase(SilentTargetCase):
+    async def fixture_with_routes(self, *behaviours, **fields):
+        fixture = await self.fixture(*behaviours)
+        routes = routes_with(**fields)
+        fixture.store.put("op/config", configuration(version=2, routes=routes))
+        await asyncio.sleep(0.1)
+        return fixture
+
+    def metrics(self, fixture):
+        return fixture.gateway.metrics.render().decode()
+
+
+class SendsThatEndTogetherTests(RequestEndCase):
+    """A stream never ended if a send failed in the turn in which it took over.
+
+    The other send was cancelled in the same turn, and no send was left to wait for.
+    """
+
+    async def test_a_stream_ends_if_its_target_is_cut_off_as_it_takes_over(self):
+        fixture = await self.fixture("stream_paused_cut", "stream")
+        fixture.workers[1].event_ms = 700.0
+        async with asyncio.timeout(4.0):
+            await fixture.call("/stream/a", method="POST")
+        self.assertEqual(len(fixture.workers[1].runs), 1)
+        self.assert_nothing_in_flight(fixture)
+
+    async def test_a_third_target_goes_on_with_such_a_stream(self):
+        fixture = await self.fixture_with_routes(
+            "stream_paused_cut", "stream", "stream", **{"max-attempts": 3}
+        )
+        for worker in fixture.workers[1:]:
+            worker.event_ms = 700.0
+        async with asyncio.timeout(6.0):
+            outcome = await fixture.call("/stream/a", method="POST")
+        self.assert_whole(outcome)
+        self.assert_nothing_in_flight(fixture)
+
+
+class SendsThatDoNotEndTests(RequestEndCase):
+    """The wait for the sends of a request had no time limit of its own."""
+
+    async def test_a_request_of_each_kind_ends_although_its_send_does_not(self):
+        async def send_without_end(attempt, target):
+            attempt.may_have_arrived = True
+            await asyncio.sleep(3600)
+
+        for kind, path in PATHS.items():
+            with self.subTest(kind=kind):
+                fixture = await self.fixture_with_routes(
+                    "whole", "whole", **{"timeout-ms": TIMEOUT_MS}
+                )
+                with (
+                    mock.patch.object(SendAttempt, "run", send_without_end),
+                    logbook.TestHandler().applicationbound() as logs,
+                ):
+                    async with asyncio.timeout(TIMEOUT_MS / 1000 + LATE_S):
+                        status, _, _ = await fixture.call(path, method="POST")
+                self.assertEqual(status, 504)
+                self.assert_nothing_in_flight(fixture)
+                messages = [line.message for line in logs.records]
+                self.assertEqual(messages.count("request held past its end"), 1)
+                self.assertIn(
+                    f'waxwinghold_overdue_requests_total{{label="{kind}"',
+                    self.metrics(fixture),
+                )
+
+    async def test_a_request_ends_although_its_caller_reads_no_events(self):
+        async def write_without_end(answer, data):
+            await asyncio.sleep(3600)
+
+        fixture = await self.fixture_with_routes(
+            "stream", "stream", **{"timeout-ms": TIMEOUT_MS}
+        )
+        with mock.patch(
+            "waxwinghold._gateway.caller_server.CallerAnswer.write", write_without_end
+        ):
+            async with asyncio.timeout(TIMEOUT_MS / 1000 + LATE_S):
+                _, _, body = await fixture.call("/stream/a", method="POST")
+        self.assertIsNone(body)
+        self.assert_nothing_in_flight(fixture)
+
+    async def test_what_arrived_before_a_freeze_is_passed_on_after_it(self):
+        fixture = await self.fixture_with_routes("whole", **{"timeout-ms": TIMEOUT_MS})
+        worker = fixture.workers[0]
+        answer_whole = worker._answer_whole
+
+        async def answer_and_freeze(request, writer):
+            await answer_whole(request, writer)
+            asyncio.get_running_loop().pause(TIMEOUT_MS / 1000 + 2 * LATE_S)
+            return True
+
+        worker._answer_whole = answer_and_freeze
+        status, _, body = await fixture.call("/unsafe/a", method="POST")
+        self.assertEqual((status, body), (200, worker.body))
+
+    async def test_a_complete_answer_is_passed_on_after_the_end_of_its_request(self):
+        started = asyncio.Event()
+        send_whole = SendAttempt._pass_whole
+
+        async def pass_slowly(attempt, target, connection, head):
+            whole = attempt._answer.send_whole
+
+            async def send_slowly(**answer):
+                started.set()
+                await asyncio.sleep(TIMEOUT_MS / 1000 + 2 * LATE_S)
+                await whole(**answer)
+
+            attempt._answer.send_whole = send_slowly
+            await send_whole(attempt, target, connection, head)
+
+        fixture = await self.fixture_with_routes("whole", **{"timeout-ms": TIMEOUT_MS})
+        with mock.patch.object(SendAttempt, "_pass_whole", pass_slowly):
+            status, _, body = await fixture.call("/safe/a")
+        self.assertTrue(started.is_set())
+        self.assertEqual((status, body), (200, fixture.workers[0].body))
+        self.assertNotIn("overdue_requests", self.metrics(fixture))
