Reset connections of callers that do not read their answers

Cause: writing a large answer waits until its caller has read most of it. A caller that keeps its connection open and reads nothing made its request, its slot and a planned stop wait without end once the answer was complete.

Any progress restarts the time, so that a slow caller gets its whole answer.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -18,6 +18,8 @@
 HEAD_LINE_LIMIT_BYTES = 8 * 1024  # Of the request line and of each header field.
 LISTEN_QUEUE_COUNT = 512
 LOG_INTERVAL_MS = 1000.0
+# A caller that reads slowly takes the system's buffer of several MB in steps.
+UNREAD_LIMIT_MS = 60_000.0
 NO_TIMEOUT_S = 1e6  # The sweep applies the configured limit instead.
 
 
@@ -59,6 +61,8 @@
         "_last_body",
         "_next_requested_ms",
         "_owner",
+        "_unread_bytes",
+        "_unread_since_ms",
         "idle_since_ms",
         "requested_ms",
         "is_read",
@@ -77,6 +81,8 @@
         self._head_bytes = 0
         self._last_body = None
         self._next_requested_ms = None
+        self._unread_bytes = 0
+        self._unread_since_ms = None
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -156,6 +162,21 @@
             return False
         return now_ms - self.requested_ms > limits.header_timeout_ms
 
+    def is_unread(self):
+        """Return whether the caller has read nothing of its answer for too long.
+
+        Counts from the first call that finds the present number of unread bytes.
+        """
+        if not self.writing_paused or self.transport is None:
+            self._unread_since_ms = None
+            return False
+        now_ms = self._clock.now_ms()
+        unread_bytes = self.transport.get_write_buffer_size()
+        if self._unread_since_ms is None or unread_bytes != self._unread_bytes:
+            self._unread_bytes = unread_bytes
+            self._unread_since_ms = now_ms
+        return now_ms - self._unread_since_ms > UNREAD_LIMIT_MS
+
     def close_transport(self):
         """Close the connection once what was written has been sent.
 
@@ -249,6 +270,7 @@
         while True:
             await self._clock.sleep_ms(SWEEP_INTERVAL_MS)
             self.close_expired(self._limits())
+            self.reset_unread()
 
     def close_expired(self, limits):
         """Close the connections that exceed a time limit of ``limits``."""
@@ -258,6 +280,16 @@
                     log.info("caller sent its request too slowly")
                 connection.close_transport()
 
+    def reset_unread(self):
+        """Reset the connections of callers that do not read their answers.
+
+        Otherwise their requests, and a planned stop, would wait for them without end.
+        """
+        for connection in self.open:
+            if connection.is_unread():
+                log.info("caller does not read its answer, connection reset")
+                connection.transport.abort()
+
     def close_idle(self):
         """Close the connections on which no answer is due."""
         for connection in self.open:
--- a/tests/test_gateway_request_ends.py
+++ b/tests/test_gateway_request_ends.py
@@ -1,17 +1,22 @@
 """Tests that each request has a final answer soon after its end."""
 
 import asyncio
+import contextlib
 from unittest import mock
 
 import logbook
 
+from waxwinghold import _caller_connections
 from waxwinghold._gateway.sending import SendAttempt
 
 from .support.gateway import configuration, standard_routes
+from .test_gateway_joined_sends import request_bytes
 from .test_gateway_silent_targets import SilentTargetCase
 
 LATE_S = 0.5  # A final answer may come this late after the route's time-out.
 TIMEOUT_MS = 600
+UNREAD_LIMIT_MS = 500.0
+LARGE_BYTES = 6_000_000  # More than the system buffers for a connection.
 PATHS = {"safe": "/safe/a", "unsafe": "/unsafe/a", "stream": "/stream/a"}
 
 
@@ -136,3 +141,39 @@
         self.assertTrue(started.is_set())
         self.assertEqual((status, body), (200, fixture.workers[0].body))
         self.assertNotIn("overdue_requests", self.metrics(fixture))
+
+
+class UnreadAnswerTests(RequestEndCase):
+    """A request waited without end for a caller that did not read its answer."""
+
+    @contextlib.asynccontextmanager
+    async def asked(self):
+        """Ask for a large answer with a short limit; give its reader."""
+        constants = {"SWEEP_INTERVAL_MS": 50.0, "UNREAD_LIMIT_MS": UNREAD_LIMIT_MS}
+        with mock.patch.multiple(_caller_connections, **constants):
+            fixture = await self.fixture("whole")
+            fixture.workers[0].body = b"x" * LARGE_BYTES
+            reader, writer = await asyncio.open_connection(
+                "127.0.0.1", fixture.port, limit=1024
+            )
+            self.addCleanup(writer.close)
+            writer.write(request_bytes("/safe/a", "r-1", method="GET"))
+            yield fixture, reader
+
+    async def test_the_request_of_a_caller_that_reads_nothing_ends(self):
+        async with self.asked() as (fixture, reader):
+            async with asyncio.timeout(5.0):
+                while not fixture.workers[0].runs or any(
+                    target.in_flight_count for target in fixture.gateway.target_pool
+                ):
+                    await asyncio.sleep(0.01)
+                with self.assertRaises((ConnectionError, EOFError)):
+                    await reader.readexactly(2 * LARGE_BYTES)
+
+    async def test_a_caller_that_reads_slowly_gets_its_whole_answer(self):
+        async with self.asked() as (_, reader):
+            await reader.readuntil(b"\r\n\r\n")
+            left_bytes = LARGE_BYTES
+            while left_bytes:
+                left_bytes -= len(await reader.readexactly(min(left_bytes, 500_000)))
+                await asyncio.sleep(UNREAD_LIMIT_MS / 2 / 1000)
