Let followers of a cut-off reader read the store before a missed change is due

Cause: followers believed their reader's copy until it was 2.5 s old, a constant that fits sites where a configuration has 3 s. A change that the reader missed right after a read was learnt 0.5 s late where it has 2 s.

Ruled out: the age of the copy (it counts from the start of the reader's last answered call, and grows while the reader is cut off) and the exclusion of silent readers, as this one goes on answering.

Change: the limits on a copy's age follow from the deployment's bounds on configurations, leaving targets, evacuations and keys (_decisions/copy_age.py); new settings with the shortest known bounds as defaults. The same holds for the wait for large changes and the reader's queue of them. A follower that is behind looks at the age before it waits for its next question. New gauges copy_age_ms and copies_outdated, and a log line.

The test of calls beside new hosts now runs with both times of a call, 1,000 ms as before and 500 ms; tests whose bound was 3 s with simulated small sites now have 2 s.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -6,6 +6,7 @@
 import logbook
 from aiohttp import web
 
+from .._decisions.copy_age import copy_limits
 from .._decisions.crash_suspects import CrashSuspects, RequestContent
 from .._decisions.retry_budget import budget_policy
 from .._decisions.second_copies import SecondCopies
@@ -103,6 +104,7 @@
             "group_running_limit", lambda: self.target_pool.lowest_running_limit()
         )
         self.metrics.gauge("pass_ms", lambda: self.target_pool.longest_pass_ms())
+        self._copy_limits = _copy_limits(settings)
         self.peers = Peers(
             clock=clock,
             settings=settings,
@@ -119,6 +121,7 @@
             own_ip=settings.peers_ip,
             local_peers=self.peers.local_peers,
             send=self.peers.send,
+            limits=lambda: self._copy_limits,
         )
         self._turns = Turns(
             position=lambda: self.peers.position,
@@ -127,6 +130,8 @@
         self.peers.handlers[AskNotice] = self.readers.on_ask
         self.peers.handlers[FreshNotice] = self.readers.on_fresh
         self.peers.handlers[FragmentNotice] = self.readers.on_fragment
+        self.metrics.gauge("copy_age_ms", lambda: self.published.age_ms)
+        self.metrics.gauge("copies_outdated", lambda: self.readers.outdated_count)
         self.metrics.gauge(
             "large_changes_sent_bytes", lambda: self.readers.large_sent_bytes
         )
@@ -463,6 +468,7 @@
         self.settings = self._settings_file.reload()
         if self.settings.second_copies_window_s != window_s:
             self._second_copies = {}
+        self._copy_limits = _copy_limits(self.settings)
         self.peers.settings = self.settings
         self._budgets = {}
 
@@ -484,6 +490,18 @@
         await self._caller_server.finish(until_ms=end_ms)
 
 
+def _copy_limits(settings):
+    """Return the ``CopyLimits`` of a gateway with the ``GatewaySettings``."""
+    return copy_limits(
+        in_force_limits_ms=(
+            settings.configuration_limit_ms,
+            settings.leaving_limit_ms,
+            settings.evacuation_limit_ms,
+        ),
+        keys_limit_ms=settings.freshness_limit_ms,
+    )
+
+
 def _content(call, *, service, customer_name):
     """Return the ``RequestContent`` of a caller's request."""
     return RequestContent(
--- a/src/waxwinghold/_gateway/large_changes.py
+++ b/src/waxwinghold/_gateway/large_changes.py
@@ -21,9 +21,9 @@
 # Two thirds of the 14 Mbit/s of the smallest hosts. 33 followers get a configuration of
 # 1,400 routes, 61 KB compressed, within 1.7 s.
 RATE_BYTES_PER_MS = 1200.0
-# Followers that would wait longer read the store at once instead; with the time for
-# reading it, the configuration is still in force within 3 s.
-QUEUE_LIMIT_MS = 1700.0
+# Followers that would have to wait until shortly before they give up read the store at
+# once instead.
+QUEUE_MARGIN_MS = 200.0
 LATE_LIMIT_MS = 20.0  # By how much a late wake-up may be made up for.
 PACKAGE_INTERVAL_MS = 500.0  # Compressing 324 KB takes 8 ms.
 PACKAGES_LIMIT_COUNT = 3  # The former ones serve followers that lost fragments.
@@ -99,15 +99,17 @@
         read_changes: ``read_changes(at)`` returns ``(after, until, changes,
             confirmed_ms)`` for a follower at revision ``at``; ``None`` if the changes
             are not kept.
+        wait_limit_ms: Returns the time for which followers wait for large changes.
 
     Attributes:
         sent_bytes: Bytes of all fragments sent.
     """
 
-    def __init__(self, *, clock, send, read_changes):
+    def __init__(self, *, clock, send, read_changes, wait_limit_ms):
         self._clock = clock
         self._send = send
         self._read_changes = read_changes
+        self._wait_limit_ms = wait_limit_ms
         self._packages = deque(maxlen=PACKAGES_LIMIT_COUNT)
         self._numbers = itertools.count(1)
         # One turn for each follower, so that a repeated ask costs nothing.
@@ -143,7 +145,8 @@
             if package is None:
                 return False
             queued_bytes = len(package.data) * (len(self._turns) + 1)
-            if queued_bytes > QUEUE_LIMIT_MS * RATE_BYTES_PER_MS:
+            limit_ms = self._wait_limit_ms() - QUEUE_MARGIN_MS
+            if queued_bytes > limit_ms * RATE_BYTES_PER_MS:
                 return False
             self._turns[ip] = turn
         if self._task is None or self._task.done():
--- a/src/waxwinghold/_gateway/readers.py
+++ b/src/waxwinghold/_gateway/readers.py
@@ -16,6 +16,7 @@
 
 import logbook
 
+from .._decisions.copy_age import ASK_INTERVAL_MS
 from .._errors import WaxwingError
 from .._registry import Registry
 from .large_changes import (
@@ -28,19 +29,8 @@
 
 log = logbook.Logger("readers")
 
-# The age of a reader's copy counts from the start of the last answered call, so it
-# reaches twice READ_WAIT_MS just before the next answer. With ASK_INTERVAL_MS added,
-# it stays below OWN_READ_AGE_MS, at which followers read the store themselves.
-READ_WAIT_MS = 1000.0
-ASK_INTERVAL_MS = 300.0
 CHANGES_WAIT_MS = 100.0  # About ten round trips between hosts of a site.
 CHANGES_LIMIT_COUNT = 40  # Changes come in bursts while targets start.
-# A gateway that stays the reader has a younger copy than this at the start of each
-# call. With an older copy, it has only just become the reader and has to read at once.
-READER_AGE_MS = 1400.0
-# Configuration has to be in force within 3 s; the remaining 500 ms are about the time
-# of 100 answers of the store.
-OWN_READ_AGE_MS = 2500.0
 EXCLUSION_MS = 3000.0  # Longer than it takes to drop a gateway that has ended.
 UNANSWERED_LIMIT_MS = 900.0  # Allows for one or two lost datagrams.
 # While targets start, their entries change constantly; the spacing makes the reader
@@ -50,16 +40,9 @@
 CHANGES_LIMIT_BYTES = 40_000  # In one notice; a datagram can hold a little more.
 KEPT_LIMIT_BYTES = 2_000_000  # Without the compressed copies, 1.5 MB at most.
 # Followers read the store themselves when their copies get older than
-# LARGE_AGE_LIMIT_MS, so none needs changes from before this time.
+# ``CopyLimits.large_age_ms``, so none needs changes from before this time.
 LARGE_KEPT_MS = 5000.0
 LARGE_SPACING_MS = 500.0  # Between two questions that are answered by large changes.
-# From the moment at which a follower hears of a large change. With the time for reading
-# the store then, a configuration is in force within 3 s.
-LARGE_WAIT_MS = 1900.0
-# A follower that waits for large changes may get older than OWN_READ_AGE_MS: it knows
-# what it waits for, and for how long. 800 ms remain for reading the store until its
-# copy of the keys is too old for requests (``freshness_limit_ms`` less a margin).
-LARGE_AGE_LIMIT_MS = 3500.0
 # Fragments of one answer follow each other within 7 ms; a pause of this length means
 # that the last ones are lost. The jitter spreads the questions of many followers.
 FRAGMENT_PAUSE_MS = 60.0
@@ -127,11 +110,14 @@
         local_peers: Returns the addresses of the other active gateways of this
             data centre.
         send: ``send(ip, notice)``; notices may be lost.
+        limits: Returns the ``CopyLimits``.
         policy: Name of a ``reader_policy``.
 
     Attributes:
         apply_changes: Function that applies an answer of the store that another
             gateway passed on; raises ``UnreadableChangesError``.
+        outdated_count: How often this gateway read the store because its reader had
+            not confirmed its copy in time.
     """
 
     def __init__(
@@ -142,6 +128,7 @@
         own_ip,
         local_peers,
         send,
+        limits,
         policy="first_of_data_centre",
     ):
         self._clock = clock
@@ -149,6 +136,7 @@
         self._own_ip = own_ip
         self._local_peers = local_peers
         self._send = send
+        self._limits = limits
         self._policy = reader_policy.make(policy)
         self.apply_changes = None
         self.pack_changes = None
@@ -160,13 +148,17 @@
         self._large_until = None
         self._large_ms = NEVER_MS
         self._sender = LargeChangesSender(
-            clock=clock, send=send, read_changes=self._read_changes
+            clock=clock,
+            send=send,
+            read_changes=self._read_changes,
+            wait_limit_ms=lambda: limits().large_wait_ms,
         )
         self._receiver = LargeChangesReceiver()
         # Whether the reader has announced that large changes will follow.
         self._is_queued = False
         self._last_large_ask_ms = NEVER_MS
         self._behind_since_ms = None
+        self.outdated_count = 0
         self.large_received_count = 0
         self.large_missed_count = 0
         # Whether the last answer was for a later revision, but held no changes.
@@ -201,7 +193,10 @@
             reader = self._reader()
             if reader == self._own_ip:
                 return await self._wait_as_reader()
-            if self._revision is None or self._is_outdated():
+            if self._revision is None:
+                return 0.0
+            if self._is_outdated():
+                self._record_outdated(reader)
                 return 0.0
             if self._is_behind():
                 if not await self._fetch_changes(reader):
@@ -213,19 +208,26 @@
     async def _wait_as_reader(self):
         await self._sleep_until(self._last_read_ms + READ_SPACING_MS)
         self._last_read_ms = self._clock.now_ms()
-        return 0.0 if self._published.age_ms > READER_AGE_MS else READ_WAIT_MS
+        limits = self._limits()
+        is_new = self._published.age_ms > limits.reader_age_ms
+        return 0.0 if is_new else limits.read_wait_ms
 
     async def _fetch_changes(self, reader):
         """Ask the reader for changes, and return whether they arrived."""
-        await self._sleep_until(self._last_ask_ms + ASK_SPACING_MS)
-        await self._sleep_until(self._last_large_ask_ms + LARGE_SPACING_MS)
+        spaced_ms = max(
+            self._last_ask_ms + ASK_SPACING_MS,
+            self._last_large_ask_ms + LARGE_SPACING_MS,
+        )
+        await self._sleep_until(min(spaced_ms, self._outdated_ms()))
+        if self._is_outdated():
+            return False
         self._is_queued = False
         self._ask(reader)
         until_ms = self._last_ask_ms + CHANGES_WAIT_MS
         while self._is_behind() and not self._changes_missing:
             if self._is_queued:
                 return await self._receive_large(reader)
-            if self._clock.now_ms() >= until_ms:
+            if self._clock.now_ms() >= until_ms or self._is_outdated():
                 return False
             await self._wait_for_notice(until_ms)
         return not self._is_behind()
@@ -237,11 +239,12 @@
         """
         before = self._revision
         self._last_large_ask_ms = self._last_ask_ms
-        limit_ms = self._behind_since_ms + LARGE_WAIT_MS
+        limits = self._limits()
+        limit_ms = self._behind_since_ms + limits.large_wait_ms
         pause_ms = FRAGMENT_PAUSE_MS + random.uniform(0, FRAGMENT_PAUSE_JITTER_MS)
         while self._revision == before and self._is_queued:
             now_ms = self._clock.now_ms()
-            if now_ms >= limit_ms or self._is_outdated(LARGE_AGE_LIMIT_MS):
+            if now_ms >= limit_ms or self._published.age_ms > limits.large_age_ms:
                 self._record_missed("they did not arrive in time")
                 return False
             arrived_ms = self._receiver.last_arrival_ms
@@ -257,13 +260,24 @@
                 self._ask(reader)
                 continue
             await self._wait_for_notice(
-                min(due_ms, limit_ms), age_limit_ms=LARGE_AGE_LIMIT_MS
+                min(due_ms, limit_ms), age_limit_ms=limits.large_age_ms
             )
         if self._revision != before:
             return True
         self._record_missed("the reader does not pass them on")
         return False
 
+    def _record_outdated(self, reader):
+        self.outdated_count += 1
+        log.info(
+            "copy not confirmed by the reader; reading the store",
+            extra={
+                "reader": reader,
+                "at": self._revision,
+                "age_ms": round(self._published.age_ms),
+            },
+        )
+
     def _record_missed(self, reason):
         self.large_missed_count += 1
         log.info(
@@ -412,7 +426,7 @@
         self._behind_since_ms = self._clock.now_ms() if self._is_behind() else None
 
     def _apply_answer(self, ip, notice, asked_ms):
-        if notice.age_ms > OWN_READ_AGE_MS:
+        if notice.age_ms > self._limits().own_read_age_ms:
             self._exclude(ip, f"its copy is {notice.age_ms:.0f} ms old")
             return
         if self._revision is None:
@@ -481,10 +495,10 @@
         if left_ms > 0:
             await self._clock.sleep_ms(left_ms)
 
-    async def _wait_for_notice(self, until_ms, *, age_limit_ms=OWN_READ_AGE_MS):
+    async def _wait_for_notice(self, until_ms, *, age_limit_ms=None):
         """Wait for a notice until ``until_ms`` or until the copy gets too old."""
         self._notice_arrived.clear()
-        until_ms = min(until_ms, self._published.asked_ms + age_limit_ms + 1)
+        until_ms = min(until_ms, self._outdated_ms(age_limit_ms))
         wait_ms = max(SHORTEST_WAIT_MS, until_ms - self._clock.now_ms())
         try:
             async with asyncio.timeout(wait_ms / MS_PER_SECOND):
@@ -492,8 +506,14 @@
         except TimeoutError:
             return
 
-    def _is_outdated(self, age_limit_ms=OWN_READ_AGE_MS):
-        return self._published.age_ms > age_limit_ms
+    def _outdated_ms(self, age_limit_ms=None):
+        """Return when the present copy gets too old."""
+        if age_limit_ms is None:
+            age_limit_ms = self._limits().own_read_age_ms
+        return self._published.asked_ms + age_limit_ms + 1
+
+    def _is_outdated(self):
+        return self._published.age_ms > self._limits().own_read_age_ms
 
     def _is_behind(self):
         return self._revision is None or self._newest_revision > self._revision
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -37,6 +37,10 @@
             verify that they are still valid.
         freshness_limit_ms: Highest age in milliseconds of the gateway's copy of
             the keys, if ``strict_keys`` is set.
+        configuration_limit_ms: Time in milliseconds from the acknowledgement of a
+            configuration until it must be in force in every gateway.
+        leaving_limit_ms: The same for a target that is leaving or gone.
+        evacuation_limit_ms: The same for the evacuation of a data centre.
         stop_limit_s: Seconds from the signal to stop until the process is killed.
         list_grace_ms: How long in milliseconds a target that is missing in the
             store after an outage of the store may still be used.
@@ -69,6 +73,9 @@
     seeds: tuple[str, ...] = ()
     strict_keys: bool = False
     freshness_limit_ms: float = 5000.0
+    configuration_limit_ms: float = 2000.0
+    leaving_limit_ms: float = 2000.0
+    evacuation_limit_ms: float = 5000.0
     stop_limit_s: float = 8.0
     list_grace_ms: float = 2000.0
     retry_ratio: float = 0.2
--- a/tests/support/data_centre.py
+++ b/tests/support/data_centre.py
@@ -19,12 +19,15 @@
 from waxwinghold._gateway.targets import TargetPool
 from waxwinghold.platform.store import StoreWatcher
 
+from .gateway import limits_within
 from .jumping_loop import LoopClock, play
 
 LINK_BITS_PER_S = 14_000_000  # Of the smallest hosts.
 LINK_BYTES_PER_MS = LINK_BITS_PER_S / 8 / 1000
 WIDE_LINK_BYTES_PER_MS = 100_000_000 / 8 / 1000
 QUEUE_LIMIT_MS = 100.0
+# Sites with links as narrow as these have at least this time for a change.
+LARGE_SITE_LIMIT_MS = 3000.0
 HOP_MS = 1.0
 STORE_MS = 4.0
 HEADER_BYTES = 28  # IP and UDP.
@@ -118,6 +121,7 @@
             own_ip=ip,
             local_peers=lambda: [peer for peer in world.active_ips if peer != ip],
             send=lambda to, notice: world.send(ip, to, notice),
+            limits=lambda: world.limits,
         )
         self.watcher = StoreWatcher(
             clock=world.clock,
@@ -156,6 +160,7 @@
         count: Number of gateways.
         loss: Share of the packets that the network loses.
         store_bytes_per_ms: Width of the link from the store to each gateway.
+        limit_ms: Time until a change has to be in force everywhere.
 
     Attributes:
         lose: ``lose(sender, receiver, notice)`` tells whether to lose a datagram.
@@ -163,8 +168,16 @@
         dropped_count: Datagrams that a full link dropped.
     """
 
-    def __init__(self, *, count, loss=0.0, store_bytes_per_ms=LINK_BYTES_PER_MS):
+    def __init__(
+        self,
+        *,
+        count,
+        loss=0.0,
+        store_bytes_per_ms=LINK_BYTES_PER_MS,
+        limit_ms=LARGE_SITE_LIMIT_MS,
+    ):
         self.clock = LoopClock()
+        self.limits = limits_within(limit_ms)
         self.store = SimulatedStore(bytes_per_ms=store_bytes_per_ms)
         self.lose = lambda sender, receiver, notice: False
         self.sent_bytes, self.sent_count = Counter(), Counter()
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -7,6 +7,7 @@
 import aiohttp
 import logbook
 
+from waxwinghold._decisions.copy_age import copy_limits
 from waxwinghold._gateway.gateway import Gateway
 from waxwinghold._gateway.settings import GatewaySettings
 from waxwinghold.platform.codec import PlatformCodec
@@ -20,6 +21,19 @@
 HOST = "shop.example"
 KEY = "key-of-a-customer"
 READY_LIMIT_S = 5.0
+# Of the deployments, the shortest time until a change has to be in force everywhere.
+CONFIGURATION_LIMIT_MS = 2000.0
+REVOCATION_LIMIT_MS = 5000.0
+
+
+def limits_within(limit_ms):
+    """Return the ``CopyLimits`` with which changes are in force within ``limit_ms``."""
+    return copy_limits(
+        in_force_limits_ms=(limit_ms,), keys_limit_ms=REVOCATION_LIMIT_MS
+    )
+
+
+COPY_LIMITS = limits_within(CONFIGURATION_LIMIT_MS)
 
 
 class FakeClock:
--- a/tests/test_deploy.py
+++ b/tests/test_deploy.py
@@ -28,6 +28,9 @@
     "bounds": {
         "revoke-strict": True,
         "revoke-ms": 5000,
+        "config-apply-ms": 3000,
+        "drain-ms": 4000,
+        "evacuation-ms": 6000,
         "grace-s": 8,
         "retry-budget-ratio": 0.2,
         "budget-slack": 94,
@@ -74,6 +77,9 @@
         settings = self.load("gateway", GatewaySettings)
         self.assertTrue(settings.strict_keys)
         self.assertEqual(settings.freshness_limit_ms, 5000)
+        self.assertEqual(settings.configuration_limit_ms, 3000)
+        self.assertEqual(settings.leaving_limit_ms, 4000)
+        self.assertEqual(settings.evacuation_limit_ms, 6000)
         self.assertEqual(settings.peers_port, 7340)
 
     def test_missing_bounds_get_defaults(self):
--- a/tests/test_fuzz_answers.py
+++ b/tests/test_fuzz_answers.py
@@ -54,7 +54,7 @@
 
 from .sheet_builder import make_sheet
 from .support.fuzz import ANY_SPEED, INT_EDGES, JSON, TEXTS, broken
-from .support.gateway import FakeClock, configuration
+from .support.gateway import COPY_LIMITS, FakeClock, configuration
 from .test_fuzz_datagrams import make_agent
 
 NUMBERS = st.sampled_from((*INT_EDGES, -0.5, 1e308, 10**400)) | st.integers(0, 9)
@@ -295,6 +295,7 @@
             own_ip="127.0.0.1",
             local_peers=lambda: ["127.0.0.2"],
             send=lambda ip, notice: sent.append(encoder.encode(notice)),
+            limits=lambda: COPY_LIMITS,
         )
         watcher = StoreWatcher(
             clock=self.clock,
--- a/tests/test_fuzz_datagrams.py
+++ b/tests/test_fuzz_datagrams.py
@@ -27,7 +27,7 @@
     encoder,
 )
 from waxwinghold._gateway.peers import Peers
-from waxwinghold._gateway.readers import OWN_READ_AGE_MS, StoreReaders
+from waxwinghold._gateway.readers import StoreReaders
 from waxwinghold._gateway.settings import GatewaySettings
 from waxwinghold._gateway.targets import TargetPool
 from waxwinghold._ranks.agent import RankAgent
@@ -36,7 +36,7 @@
 from waxwinghold._ranks.settings import RankSettings
 
 from .support.fuzz import ANY_SPEED, broken, instances
-from .support.gateway import FakeClock
+from .support.gateway import COPY_LIMITS, FakeClock
 
 GROUP = "g/0"
 RANKS_COUNT = 3
@@ -322,6 +322,7 @@
             own_ip="127.0.0.9",
             local_peers=lambda: ["127.0.0.1"],
             send=lambda ip, notice: sent.append(notice),
+            limits=lambda: COPY_LIMITS,
         )
         readers.apply_changes = lambda answer, *, at: None
         return readers, published
@@ -348,7 +349,7 @@
         readers.on_fresh("127.0.0.1", notice)
         for answer_ms in published.answers_ms:
             self.assertLessEqual(answer_ms, asked_ms)
-            self.assertLessEqual(asked_ms - OWN_READ_AGE_MS, answer_ms)
+            self.assertLessEqual(asked_ms - COPY_LIMITS.own_read_age_ms, answer_ms)
 
     @ANY_SPEED
     @given(
--- a/tests/test_gateway_large_changes.py
+++ b/tests/test_gateway_large_changes.py
@@ -37,6 +37,9 @@
 FOLLOWERS_LIMIT_COUNT = 33  # Of one data centre of the largest known site.
 ROUTES_COUNT = 1400
 CONFIGURATION_LIMIT_MS = 3000.0
+SHORTEST_LIMIT_MS = 2000.0
+SMALL_SITE_COUNT = 4
+SMALL_SITE_BYTES_PER_MS = 1_000_000_000 / 8 / 1000
 REVOCATION_LIMIT_MS = 5000.0
 VERSIONS_COUNT = 25
 VERSION_INTERVAL_MS = 80.0  # 25 versions within 2 s.
@@ -280,6 +283,41 @@
         self.assertLess(age_ms, REVOCATION_LIMIT_MS - 700)
 
 
+class ShortestLimitTests(unittest.TestCase):
+    """The same at sites with wide links, where less time is allowed."""
+
+    def play(self, scenario, **fields):
+        return run_data_centre(
+            scenario,
+            count=SMALL_SITE_COUNT,
+            limit_ms=SHORTEST_LIMIT_MS,
+            store_bytes_per_ms=SMALL_SITE_BYTES_PER_MS,
+            **fields,
+        )
+
+    def test_a_large_version(self):
+        took_ms = self.play(lambda world: spread_version(world, SHORTEST_LIMIT_MS))
+        self.assertLess(max(took_ms.values()), SHORTEST_LIMIT_MS)
+
+    def test_no_fragment_arrives(self):
+        async def scenario(world):
+            world.lose = lambda sender, to, notice: isinstance(notice, FragmentNotice)
+            return await spread_version(world, SHORTEST_LIMIT_MS)
+
+        self.assertLess(max(self.play(scenario).values()), SHORTEST_LIMIT_MS)
+
+    def test_a_reader_that_ends_in_the_middle(self):
+        async def scenario(world):
+            await settle(world)
+            since_ms = await put_version(world, 2)
+            await world.clock.sleep_ms(30)
+            world.stop(world.reader)
+            await world.clock.sleep_ms(SHORTEST_LIMIT_MS)
+            return world.took_ms(2, since_ms)
+
+        self.assertLess(max(self.play(scenario).values()), SHORTEST_LIMIT_MS)
+
+
 class OrderTests(unittest.TestCase):
     def test_targets_of_all_kept_changes_arrive_with_the_newest_configuration(self):
         """Events of targets beside skipped configurations must not be skipped."""
--- a/tests/test_gateway_new_hosts.py
+++ b/tests/test_gateway_new_hosts.py
@@ -8,8 +8,9 @@
 import math
 import random
 
-from waxwinghold._gateway.readers import OWN_READ_AGE_MS, reader_policy
+from waxwinghold._gateway.readers import reader_policy
 
+from .support.gateway import CONFIGURATION_LIMIT_MS, COPY_LIMITS
 from .test_gateway_readers import (
     ANSWER_MS,
     GATEWAYS_COUNT,
@@ -78,7 +79,7 @@
 
 
 class LowerAddressesTests(ReadersCase):
-    def play(self, ips, *, changes=False):
+    def play(self, ips, *, changes=False, limit_ms=CONFIGURATION_LIMIT_MS):
         """Let hosts join one after the other.
 
         Returns:
@@ -117,7 +118,7 @@
             ]
             return readers, highest_ms, store.calls_count - before, lags_ms
 
-        return simulate(scenario)
+        return simulate(scenario, limit_ms=limit_ms)
 
     def lower(self):
         """Return addresses, each lower than all before, as numbers and as text."""
@@ -138,7 +139,7 @@
     def test_no_copy_gets_older_than_its_limit(self):
         """Otherwise callers with keys are rejected while hosts join."""
         _, highest_ms, *_ = self.play(self.lower())
-        self.assertLess(highest_ms, OWN_READ_AGE_MS + 2 * ANSWER_MS + 50)
+        self.assertLess(highest_ms, COPY_LIMITS.own_read_age_ms + 2 * ANSWER_MS + 50)
 
     def test_a_change_is_in_force_at_once_while_hosts_join(self):
         *_, lags_ms = self.play(self.lower(), changes=True)
@@ -146,9 +147,11 @@
 
     def test_calls_to_the_store_grow_with_the_new_hosts_only(self):
         """Each new host reads the store once; nobody else reads more than before."""
-        *_, calls_count, _ = self.play(self.lower())
-        *_, quiet_count, _ = self.play([])
         during_ms = NEW_HOSTS_COUNT * JOIN_INTERVAL_MS
-        waits_count = math.ceil(during_ms / 1000) + 1
-        limit_count = quiet_count + waits_count + 2 * NEW_HOSTS_COUNT
-        self.assertLessEqual(calls_count, limit_count)
+        for limit_ms, wait_ms in ((3000.0, 1000.0), (2000.0, 500.0)):
+            with self.subTest(limit_ms=limit_ms):
+                *_, calls_count, _ = self.play(self.lower(), limit_ms=limit_ms)
+                *_, quiet_count, _ = self.play([], limit_ms=limit_ms)
+                waits_count = math.ceil(during_ms / wait_ms) + 1
+                limit_count = quiet_count + waits_count + 2 * NEW_HOSTS_COUNT
+                self.assertLessEqual(calls_count, limit_count)
--- a/tests/test_gateway_readers.py
+++ b/tests/test_gateway_readers.py
@@ -13,30 +13,40 @@
 from waxwinghold._gateway.published_state import PublishedState
 from waxwinghold._gateway.readers import (
     CHANGES_LIMIT_BYTES,
-    OWN_READ_AGE_MS,
     StoreReaders,
     UnreadableChangesError,
     reader_policy,
 )
 from waxwinghold._gateway.targets import TargetPool
+from waxwinghold.platform.store import ANSWER_LIMIT_MS
 
 from .map_fakes import run_world
+from .support.gateway import CONFIGURATION_LIMIT_MS, COPY_LIMITS, limits_within
 
 GATEWAYS_COUNT = 13  # In one data centre of the largest known site.
+LARGEST_SITE_COUNT = 98
+LOWEST_RATE_COUNT = 2000  # Calls a second that the store of a small site allows.
+BURST_COUNT = 20
+BURST_INTERVAL_MS = 50.0  # Below the spacing of the reader's calls.
 QUIET_MS = 20_000
 HOP_MS = 2.0
 ANSWER_MS = 4.0
-# Time until a change is in force everywhere, from the store's acknowledgement.
-CONFIGURATION_LIMIT_MS = 3000.0
 
 
 class FakeStore:
-    """A store with a growing revision, calls that wait for it, and calls that fail."""
+    """A store with a growing revision, calls that wait for it, and calls that fail.
+
+    Attributes:
+        failing_ips: Gateways whose calls it refuses.
+        cut_ips: Gateways that get no answer, also not to calls that wait already.
+    """
 
     def __init__(self):
         self.at = 1
         self.calls_count = 0
+        self.calls_ms = []
         self.failing_ips = set()
+        self.cut_ips = set()
         self._changed = asyncio.Event()
 
     def change(self):
@@ -46,15 +56,19 @@
 
     async def watch(self, ip, at, wait_ms):
         self.calls_count += 1
+        self.calls_ms.append(asyncio.get_running_loop().time() * 1000)
         await asyncio.sleep(ANSWER_MS / 1000)
         if ip in self.failing_ips:
             raise ConnectionError
-        if self.at <= at and wait_ms:
+        if self.at <= at and wait_ms and ip not in self.cut_ips:
             try:
                 async with asyncio.timeout(wait_ms / 1000):
                     await self._changed.wait()
             except TimeoutError:
                 pass
+        if ip in self.cut_ips:
+            await asyncio.sleep((wait_ms + ANSWER_LIMIT_MS) / 1000)
+            raise ConnectionError
         return self.at, str(self.at).encode()
 
 
@@ -78,6 +92,7 @@
                 peer_ip for peer_ip in simulation.gateways if peer_ip != ip
             ],
             send=lambda to, notice: simulation.send(ip, to, notice),
+            limits=lambda: simulation.limits,
             policy=policy,
         )
         self.readers.apply_changes = self.apply_changes
@@ -114,7 +129,14 @@
 class Simulation:
     """The gateways of one data centre and their store in virtual time."""
 
-    def __init__(self, *, policy="first_of_data_centre", count=GATEWAYS_COUNT):
+    def __init__(
+        self,
+        *,
+        policy="first_of_data_centre",
+        count=GATEWAYS_COUNT,
+        limit_ms=CONFIGURATION_LIMIT_MS,
+    ):
+        self.limits = limits_within(limit_ms)
         self.loop = asyncio.get_running_loop()
         self.clock = Clock(read_ns=lambda: int(self.loop.time() * 1e9))
         self.store = FakeStore()
@@ -204,7 +226,7 @@
         calls_count, highest_age_ms = simulate(self._count_calls)
         baseline_count, _ = simulate(self._count_calls, policy="everyone")
         self.assertLess(calls_count * 10, baseline_count)
-        self.assertLess(highest_age_ms, OWN_READ_AGE_MS)
+        self.assertLess(highest_age_ms, COPY_LIMITS.own_read_age_ms)
 
     async def _change(self, simulation, count=1):
         """Return the time until all gateways have the changes, and the calls made."""
@@ -302,14 +324,14 @@
             lambda simulation, reader: simulation.silent_ips.add(reader)
         )
         self.assertLess(took_ms, CONFIGURATION_LIMIT_MS)
-        self.assertLess(age_ms, OWN_READ_AGE_MS + 2 * ANSWER_MS + 50)
+        self.assertLess(age_ms, COPY_LIMITS.own_read_age_ms + 2 * ANSWER_MS + 50)
 
     def test_a_reader_that_the_store_rejects_is_replaced(self):
         took_ms, age_ms = self._run_with_fault(
             lambda simulation, reader: simulation.store.failing_ips.add(reader)
         )
         self.assertLess(took_ms, CONFIGURATION_LIMIT_MS)
-        self.assertLess(age_ms, OWN_READ_AGE_MS + 2 * ANSWER_MS + 50)
+        self.assertLess(age_ms, COPY_LIMITS.own_read_age_ms + 2 * ANSWER_MS + 50)
 
     def test_every_gateway_reads_while_no_notice_arrives(self):
         async def scenario(simulation):
@@ -318,7 +340,101 @@
             await simulation.sleep_ms(1000)
             return await simulation.highest_age_ms(QUIET_MS)
 
-        self.assertLess(simulate(scenario), OWN_READ_AGE_MS + 2 * ANSWER_MS + 50)
+        self.assertLess(
+            simulate(scenario), COPY_LIMITS.own_read_age_ms + 2 * ANSWER_MS + 50
+        )
+
+
+class LostViewTests(ReadersCase):
+    """Followers believed for too long a reader that no longer saw the store's changes.
+
+    Requests that may run once ran at the old service of a route that had been moved.
+    """
+
+    FROZEN_MS = 1200.0
+
+    async def _cut(self, simulation, reader):
+        simulation.store.cut_ips.add(reader)
+
+    async def _refuse(self, simulation, reader):
+        simulation.store.failing_ips.add(reader)
+
+    async def _silence(self, simulation, reader):
+        simulation.silent_ips.add(reader)
+
+    async def _freeze(self, simulation, reader):
+        simulation.silent_ips.add(reader)
+        simulation.store.cut_ips.add(reader)
+        await simulation.sleep_ms(self.FROZEN_MS)
+        simulation.silent_ips.discard(reader)
+
+    async def _kill(self, simulation, reader):
+        simulation.silent_ips.add(reader)
+        simulation.store.cut_ips.add(reader)
+        simulation.gateways[reader].readers.reset()
+        await simulation.sleep_ms(self.FROZEN_MS)
+        simulation.silent_ips.discard(reader)
+
+    def _slowest_ms(self, end_view, *, limit_ms, after_read_ms):
+        """Return the longest time that a change takes at a follower.
+
+        Args:
+            end_view: Function that ends the reader's view of the store.
+            after_read_ms: When it does so, after the reader's last read.
+        """
+
+        async def scenario(simulation):
+            simulation.start()
+            await simulation.sleep_ms(5000)
+            # Each call of the reader is answered as soon as it is made.
+            for _ in range(BURST_COUNT):
+                simulation.store.change()
+                await simulation.sleep_ms(BURST_INTERVAL_MS)
+            await simulation.sleep_ms(after_read_ms)
+            reader = simulation.reader()
+            simulation.tasks.append(asyncio.create_task(end_view(simulation, reader)))
+            await simulation.sleep_ms(1)
+            simulation.store.change()
+            changed_ms = simulation.clock.now_ms()
+            await simulation.sleep_ms(2 * limit_ms)
+            return max(
+                gateway.applied_ms.get(simulation.store.at, float("inf")) - changed_ms
+                for ip, gateway in simulation.gateways.items()
+                if ip != reader
+            )
+
+        return simulate(scenario, limit_ms=limit_ms)
+
+    def test_the_followers_of_a_cut_reader_do_not_overload_the_store(self):
+        async def scenario(simulation):
+            simulation.start()
+            await simulation.sleep_ms(5000)
+            await self._cut(simulation, simulation.reader())
+            simulation.store.calls_ms.clear()
+            await simulation.sleep_ms(20_000)
+            return simulation.store.calls_ms
+
+        calls_ms = simulate(scenario, count=LARGEST_SITE_COUNT)
+        counts = [
+            sum(start_ms <= other_ms < start_ms + 1000 for other_ms in calls_ms)
+            for start_ms in calls_ms
+        ]
+        self.assertLess(max(counts), LOWEST_RATE_COUNT / 10)
+
+    def test_a_change_that_the_reader_misses_is_in_force_in_time(self):
+        ends = (self._cut, self._refuse, self._silence, self._freeze, self._kill)
+        for limit_ms in (2000.0, 3000.0, 4000.0):
+            for end_view in ends:
+                for after_read_ms in range(0, 1300, 150):
+                    with self.subTest(
+                        limit_ms=limit_ms,
+                        end=end_view.__name__,
+                        after_read_ms=after_read_ms,
+                    ):
+                        took_ms = self._slowest_ms(
+                            end_view, limit_ms=limit_ms, after_read_ms=after_read_ms
+                        )
+                        self.assertLess(took_ms, limit_ms)
 
 
 class CopyAgeTests(ReadersCase):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -22,7 +22,7 @@
 )
 from waxwinghold_standins.fleet_store import FleetStore, worker_entry
 
-from .support.gateway import FakeClock, configuration
+from .support.gateway import COPY_LIMITS, FakeClock, configuration
 
 GRACE_MS = 2000.0
 POSITION = REVISIONS_PER_ERA_COUNT + 1  # In the first era of the stand-in.
@@ -47,6 +47,7 @@
             own_ip="127.0.0.1",
             local_peers=list,
             send=None,
+            limits=lambda: COPY_LIMITS,
         )
         self.watcher = StoreWatcher(
             clock=clock,
