Count the wait for large changes from their own announcement

What callers would see: a configuration in force late where versions follow each other while large changes are passed on and lost.

Cause: a follower that received one large change while a later one was announced already began its wait anew, so that it read the store up to a whole wait later than planned.

Change: the follower remembers when it heard of each revision after its own.

--- a/src/waxwinghold/_gateway/readers.py
+++ b/src/waxwinghold/_gateway/readers.py
@@ -51,6 +51,7 @@
 # which never end in simulated time.
 SHORTEST_WAIT_MS = 0.1
 RESEND_WAIT_MS = 150.0  # Readers send lost fragments after the present turn.
+HEARD_LIMIT_COUNT = 40  # Several seconds of revisions that are announced one by one.
 PENDING_ASKS_LIMIT_COUNT = 10  # An answer arrives within a few intervals or is lost.
 NEVER_MS = float("-inf")
 MS_PER_SECOND = 1000
@@ -157,7 +158,8 @@
         # Whether the reader has announced that large changes will follow.
         self._is_queued = False
         self._last_large_ask_ms = NEVER_MS
-        self._behind_since_ms = None
+        # When each revision after the present one was announced first, in order.
+        self._heard = deque()
         self.outdated_count = 0
         self.large_received_count = 0
         self.large_missed_count = 0
@@ -240,7 +242,7 @@
         before = self._revision
         self._last_large_ask_ms = self._last_ask_ms
         limits = self._limits()
-        limit_ms = self._behind_since_ms + limits.large_wait_ms
+        limit_ms = self._heard[0][1] + limits.large_wait_ms
         pause_ms = FRAGMENT_PAUSE_MS + random.uniform(0, FRAGMENT_PAUSE_JITTER_MS)
         while self._revision == before and self._is_queued:
             now_ms = self._clock.now_ms()
@@ -309,7 +311,7 @@
         # A peer that announced a later revision was wrong, or will announce it again.
         # If that revision were kept, this gateway would call the store over and over.
         self._newest_revision = min(self._newest_revision, at)
-        self._behind_since_ms = None
+        self._heard.clear()
         if is_newer and self._reader() == self._own_ip:
             for ip in self._local_peers():
                 self._send(ip, self._fresh_notice(echo=0))
@@ -381,14 +383,20 @@
         """Handle a ``FreshNotice``, sent as an answer or unasked."""
         if notice.at > self._newest_revision:
             self._newest_revision = notice.at
-        if self._is_behind() and self._behind_since_ms is None:
-            self._behind_since_ms = self._clock.now_ms()
+            if self._is_behind():
+                self._record_heard(notice.at)
         asked_ms = self._pending_asks.pop(notice.echo, None)
         if asked_ms is not None:
             self._unanswered_since_ms = None
             self._apply_answer(ip, notice, asked_ms)
         self._notice_arrived.set()
 
+    def _record_heard(self, revision):
+        heard_ms = self._clock.now_ms()
+        if len(self._heard) >= HEARD_LIMIT_COUNT:
+            _, heard_ms = self._heard.pop()
+        self._heard.append((revision, heard_ms))
+
     def on_fragment(self, ip, notice):
         """Handle a ``FragmentNotice``; only answers to own questions count."""
         now_ms = self._clock.now_ms()
@@ -423,7 +431,8 @@
         self._changes.clear()
         self._sender.clear()
         self._receiver.clear()
-        self._behind_since_ms = self._clock.now_ms() if self._is_behind() else None
+        while self._heard and self._heard[0][0] <= at:
+            self._heard.popleft()
 
     def _apply_answer(self, ip, notice, asked_ms):
         if notice.age_ms > self._limits().own_read_age_ms:
--- a/tests/test_gateway_readers.py
+++ b/tests/test_gateway_readers.py
@@ -5,11 +5,12 @@
 
 import asyncio
 import unittest
+import zlib
 
 import logbook
 
 from waxwinghold._clock import Clock
-from waxwinghold._gateway.notices import FORMAT, AskNotice, FreshNotice
+from waxwinghold._gateway.notices import FORMAT, AskNotice, FragmentNotice, FreshNotice
 from waxwinghold._gateway.published_state import PublishedState
 from waxwinghold._gateway.readers import (
     CHANGES_LIMIT_BYTES,
@@ -467,6 +468,45 @@
 
         self.assertGreater(simulate(scenario, count=2), 1000)
 
+    def test_the_wait_for_large_changes_counts_from_their_own_announcement(self):
+        """It counted from the arrival of the changes before them."""
+
+        async def scenario(simulation):
+            reader, gateway, sent = self._ask_once(simulation)
+            await simulation.sleep_ms(1)
+
+            def tell(at, **fields):
+                fresh = FreshNotice(format=FORMAT, at=at, age_ms=0.0, **fields)
+                gateway.handle_notice(reader, fresh)
+
+            tell(8, echo=0)
+            await simulation.sleep_ms(50)
+            tell(8, echo=sent[-1].nonce, is_queued=True)
+            await simulation.sleep_ms(250)
+            tell(9, echo=0)
+            announced_ms = simulation.clock.now_ms()
+            await simulation.sleep_ms(400)
+            fragment = FragmentNotice(
+                format=FORMAT,
+                echo=sent[-1].nonce,
+                at=8,
+                age_ms=0.0,
+                package=1,
+                number=0,
+                count=1,
+                data=zlib.compress(b"8"),
+            )
+            gateway.readers.on_fragment(reader, fragment)
+            task = simulation.tasks[-1]
+            while not task.done():
+                await simulation.sleep_ms(10)
+                tell(9, echo=sent[-1].nonce, is_queued=True)
+            return gateway.at, simulation.clock.now_ms() - announced_ms
+
+        at, waited_ms = simulate(scenario, count=2)
+        self.assertEqual(at, 8)
+        self.assertLess(waited_ms, COPY_LIMITS.large_wait_ms + 50)
+
     def test_changes_that_cannot_be_passed_on_are_not_kept(self):
         async def scenario(simulation):
             gateway = simulation.gateways[simulation.reader()]
