Ignore entries of targets with numbers, addresses or names out of range

Reported by operators of similar systems: one odd entry of another writer ended the processes that read the list, or they stopped following it.

Found here: slots above the range of a float made every request of the service end with 500; an address with a null character in its scope ended the gateway's UDP socket at the next notice; a value that is not base64 made each read of an agent fail; a name with line breaks was sent in a header. Not found: deep nesting and ports out of range were ignored already, and no process ended.

Cause: unbounded numbers, ports read by int(), scopes and names taken as they are; agents decoded values outside the handling of one entry.

--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -12,6 +12,7 @@
 from ._convert import ConversionError, convert
 from ._errors import SettingsError
 
+PORT_PATTERN = re.compile("[0-9]{1,5}")
 Z85_KEY_LENGTH = 40
 SECRET_LENGTH_MIN = 32
 # Settings of earlier versions, with what to expect in their place.
@@ -294,8 +295,11 @@
 def is_ip_port(text):
     """Return whether a text is ``IP:PORT`` with a port that can be connected to."""
     host, _, port = text.rpartition(":")
+    # ``int`` also accepts signs, separators and the digits of other scripts.
+    if PORT_PATTERN.fullmatch(port) is None:
+        return False
     try:
         ipaddress.ip_address(host.strip("[]"))
-        return 0 < int(port) < 65536
     except ValueError:
         return False
+    return 0 < int(port) < 65536
--- a/src/waxwinghold/platform/directory.py
+++ b/src/waxwinghold/platform/directory.py
@@ -1,6 +1,5 @@
 """Addresses of a service's ranks and the shape of their groups, for an agent."""
 
-import base64
 from typing import Annotated
 
 import logbook
@@ -10,7 +9,13 @@
 from .._gateway.notices import Count
 from .._ranks.model import GroupShape
 from .entries import UNREADABLE_ERRORS, read_target
-from .store import CONFIGURATION_KEY, TARGETS_PREFIX, StoreError, read_range
+from .store import (
+    CONFIGURATION_KEY,
+    TARGETS_PREFIX,
+    StoreError,
+    item_value,
+    read_range,
+)
 
 log = logbook.Logger("directory")
 
@@ -62,8 +67,7 @@
             if self._shape is None:
                 self._shape = await self._read_shape()
             return await self._read_addresses(), self._shape
-        except (StoreError, *UNREADABLE_ERRORS, ValueError) as error:
-            # A value that is not base64 is a ``ValueError``.
+        except (StoreError, *UNREADABLE_ERRORS) as error:
             log.info("store read failed", extra={"reason": str(error)})
             return None, self._shape
 
@@ -71,7 +75,9 @@
         items, _, _ = await read_range(self._client, TARGETS_PREFIX, **{"stale-ok": 1})
         addresses = []
         for item in items:
-            data = base64.b64decode(item.value or "")
+            data = item_value(item)
+            if data is None:
+                continue
             target = read_target(item.key.removeprefix(TARGETS_PREFIX), data)
             if target is not None and target.service == self._service:
                 addresses.append(target.address)
@@ -82,7 +88,9 @@
             self._client, CONFIGURATION_KEY, **{"stale-ok": 1}
         )
         for item in items:
-            data = base64.b64decode(item.value or "")
+            data = item_value(item) if item.key == CONFIGURATION_KEY else None
+            if data is None:
+                continue
             for service in msgspec.json.decode(data, type=_Configuration).services:
                 if service.name == self._service:
                     return _shape(service.engine)
--- a/src/waxwinghold/platform/entries.py
+++ b/src/waxwinghold/platform/entries.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from typing import Any
+from typing import Annotated, Any
 
 import logbook
 import msgspec
@@ -28,6 +28,7 @@
 log = logbook.Logger("entries")
 
 MS_PER_SECOND = 1000
+SLOTS_LIMIT_COUNT = 1_000_000  # Above it, the sums over all targets lose precision.
 
 # The decoder raises ``RecursionError`` for values that are nested too deeply.
 UNREADABLE_ERRORS = (msgspec.MsgspecError, RecursionError)
@@ -105,8 +106,8 @@
     address: str
     zone: str
     state: str
-    slots: int = 1
-    born: int = 0
+    slots: Annotated[int, msgspec.Meta(ge=1, le=SLOTS_LIMIT_COUNT)] = 1
+    born: Count = 0
     cold_left_ms: msgspec.Raw = msgspec.Raw()
 
 
@@ -151,10 +152,12 @@
     """
     try:
         worker = _worker_decoder.decode(data)
-        if worker.slots <= 0 or not is_ip_port(worker.address):
-            raise ValueError(
-                f'invalid slots "{worker.slots}" or address "{worker.address}"'
-            )
+        # Names are sent in headers, and datagrams to the hosts: a null would end the
+        # socket, and a scope means nothing on this machine.
+        if not name.isprintable() or " " in name or not name:
+            raise ValueError(f"invalid name {name!r}")
+        if "%" in worker.address or not is_ip_port(worker.address):
+            raise ValueError(f"invalid address {worker.address!r}")
         return Target(
             name=name,
             service=worker.service,
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -292,7 +292,7 @@
         packed = [
             _PackedItem(
                 key=item.key,
-                value=_value(item),
+                value=item_value(item),
                 revision=item.revision,
                 deleted=item.deleted,
             )
@@ -307,7 +307,7 @@
         """Return the last item of the highest version that can be read, or ``None``."""
         versions = []
         for index, item in enumerate(events):
-            data = _value(item) if item.key == CONFIGURATION_KEY else None
+            data = item_value(item) if item.key == CONFIGURATION_KEY else None
             if data is None:
                 continue
             try:
@@ -430,7 +430,7 @@
             self._published.apply_targets(self._targets.values())
 
     def _apply_configuration(self, item):
-        data = _value(item)
+        data = item_value(item)
         if item.key != CONFIGURATION_KEY or data is None:
             return
         configuration = read_configuration(data)
@@ -440,7 +440,7 @@
 
     def _apply_target(self, item):
         name = item.key.removeprefix(TARGETS_PREFIX)
-        data = _value(item)
+        data = item_value(item)
         target = None
         if data is not None:
             target = read_target(name, data, written=item.revision)
@@ -479,7 +479,7 @@
     return _events_decoder.decode(answer)
 
 
-def _value(item):
+def item_value(item):
     """Return an item's value as bytes; ``None`` if deleted or not decodable."""
     if item.deleted or item.value is None:
         return None
