Pass on the answer that follows an earlier one on its connection

Reported by operators of similar systems: a worker wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that had run, or such requests ran twice.

Found here: no false "not run" and no second run, but the answer that came after the skipped one was taken for bytes after the end: 504 or another send for safe requests, 502 for unsafe ones.

Cause: skip_body left the connection marked as answered.

Evidence: tests.test_gateway_stale_answers: with earlier refusals, safe and unsafe requests fail without the change; refusals sent twice were handled before as well.

--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -186,7 +186,7 @@
         return b"".join(parts)
 
     async def skip_body(self):
-        """Drop the body of the current answer.
+        """Drop the body of the current answer; another answer may follow it.
 
         Raises:
             SkippedAnswerTooLongError: The body, or the number of bodies skipped since
@@ -202,6 +202,7 @@
         answer_sizes.release(self)
         while await self.body():
             pass
+        self._answered = False
         self._skips = False
 
     def abort(self):
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -237,6 +237,26 @@
         writer.write(answer_bytes(200, headers, self.body))
         return True
 
+    async def _answer_late_refusal(self, request, writer):
+        """Send the refusal of an earlier request before the expected answer."""
+        earlier_id = self.runs[-1] if self.runs else "an-earlier-request"
+        headers = self.record_run(request)
+        stale = [("Attempt-Id", earlier_id), ("Not-Executed", "1")]
+        writer.write(answer_bytes(503, stale, b"full"))
+        await writer.drain()
+        await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+        writer.write(answer_bytes(200, headers, self.body))
+        return True
+
+    async def _answer_shed_twice(self, request, writer):
+        """Reject the request, and send the same rejection once more."""
+        rejection = answer_bytes(503, [("Not-Executed", "1")], b"full")
+        writer.write(rejection)
+        await writer.drain()
+        await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+        writer.write(rejection)
+        return True
+
     async def _answer_endless(self, request, writer):
         """Run the request and send bytes without end instead of an answer."""
         headers = self.record_run(request)
