Go on with a stream only with an answer of its status and type

Reported by operators of similar systems: after a stream had broken off, callers found the next worker's error in the middle of it, or it ended as if it were complete.

Found here: errors were kept out, but a success that is no stream was not. The text of a 202 or of a 200 of another type was passed on where it looked like an event; after a 204 or an empty text the stream ended as if it were complete.

Cause: any answer below status 300 counted as the rest of a stream.

--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -82,10 +82,12 @@
     Attributes:
         started: Whether the head of the stream was passed on.
         last_event_id: Id of the last event that the caller has, or ``None``.
+        head: The ``AnswerHead`` that was passed on, if it began a stream.
         is_complete: Whether the end of the answer has arrived from a target.
     """
 
     started: bool = False
+    head: object = None
     is_complete: bool = False
     last_event_id: int | None = None
 
@@ -240,7 +242,10 @@
         splitter = EventSplitter()
         connection.lift_body_limit()
         while True:
+            self._check_continues(head)
             data = await self._piece(connection, connection.body)
+            # Another send may have begun the stream meanwhile.
+            self._check_continues(head)
             if not data:
                 break
             if not self.has_data:
@@ -339,9 +344,25 @@
         if self._progress.started:
             return
         self._progress.started = True
+        self._progress.head = head
         headers = self._gateway.codec.answer_headers(head)
         await self._answer.start(status=head.status, headers=headers)
 
+    def _check_continues(self, head):
+        """Check that an answer can go on with the stream that the caller has in part.
+
+        Raises:
+            MalformedAnswerError: It has another status or type.
+        """
+        begun = self._progress.head
+        if begun is None or _answer_kind(head) == _answer_kind(begun):
+            return
+        raise MalformedAnswerError(
+            "an answer of status {} and type {!r} does not go on with a stream".format(
+                *_answer_kind(head)
+            )
+        )
+
     async def _pass_events(self, head, events):
         passed = []
         last_id = self._progress.last_event_id
@@ -436,6 +457,12 @@
             )
 
 
+def _answer_kind(head):
+    """Return the status and the media type of an answer."""
+    media_type, _, _ = (head.get(b"content-type") or "").partition(";")
+    return head.status, media_type.strip().lower()
+
+
 def stream_gap_ms(route):
     """Return the pause in milliseconds after which callers give up on a stream."""
     return max(
