Accept no key once the list of tenants is empty

Cause: a missing and an empty list of tenants were read alike, as a configuration without tenants, for which no keys are needed.

Ruled out: an old copy of the keys; the version with the empty list was in force.

Change: only a configuration without the field needs no keys.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -317,7 +317,7 @@
             )
         path = call.path.partition("?")[0]
         route = table.route(host=call.host, path=path)
-        if not route.anonymous and table.configuration.customers:
+        if not route.anonymous and table.configuration.customers is not None:
             self._check_fresh()
         customer = table.customer(route=route, key=call.key)
         priority = route.priority
--- a/src/waxwinghold/_gateway/model.py
+++ b/src/waxwinghold/_gateway/model.py
@@ -126,13 +126,17 @@
 
 @dataclass(frozen=True, kw_only=True)
 class Configuration:
-    """One version of the configuration that operators publish."""
+    """One version of the configuration that operators publish.
+
+    Args:
+        customers: ``None`` if callers need no keys. If there are none, no key is valid.
+    """
 
     version: int
     routes: tuple[Route, ...]
     services: dict[str, Service] = field(default_factory=dict)
     limits: CallerLimits = field(default_factory=CallerLimits)
-    customers: tuple[Customer, ...] = ()
+    customers: tuple[Customer, ...] | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/src/waxwinghold/_gateway/published_state.py
+++ b/src/waxwinghold/_gateway/published_state.py
@@ -100,7 +100,7 @@
             extra={
                 "version": configuration.version,
                 "routes": len(configuration.routes),
-                "customers": len(configuration.customers),
+                "customers": len(configuration.customers or ()),
             },
         )
 
--- a/src/waxwinghold/_gateway/routes.py
+++ b/src/waxwinghold/_gateway/routes.py
@@ -41,7 +41,7 @@
             self._routes.setdefault(route.host, {})[route.prefix] = route
         self._customers = {
             key: customer
-            for customer in configuration.customers
+            for customer in configuration.customers or ()
             for key in customer.keys
         }
 
@@ -68,8 +68,8 @@
     def customer(self, *, route, key):
         """Return the customer that ``key`` belongs to, or ``None``.
 
-        There is no customer if the configuration has none, or if the route is
-        anonymous and the key belongs to none.
+        There is no customer if callers need no keys, or if the route is anonymous and
+        the key belongs to none.
 
         Args:
             key: The caller's key, or an empty string.
@@ -77,7 +77,7 @@
         Raises:
             UnknownKeyError: The route requires the key of a customer.
         """
-        if not self.configuration.customers:
+        if self.configuration.customers is None:
             return None
         customer = self._customers.get(key) if key else None
         if customer is None and not route.anonymous:
--- a/src/waxwinghold/platform/entries.py
+++ b/src/waxwinghold/platform/entries.py
@@ -98,7 +98,7 @@
     routes: list[_Route]
     services: list[_Service] = []
     limits: _Limits = msgspec.field(default_factory=_Limits)
-    tenants: list[_Tenant] = []
+    tenants: list[_Tenant] | None = None
 
 
 class _Worker(_Entry):
@@ -127,12 +127,15 @@
     """
     try:
         document = _configuration_decoder.decode(data)
+        customers = None
+        if document.tenants is not None:
+            customers = tuple(_customer(tenant) for tenant in document.tenants)
         return Configuration(
             version=document.version,
             routes=tuple(_route(route) for route in document.routes),
             services={service.name: _service(service) for service in document.services},
             limits=_limits(document.limits),
-            customers=tuple(_customer(tenant) for tenant in document.tenants),
+            customers=customers,
         )
     except (*UNREADABLE_ERRORS, KeyError, UnicodeDecodeError) as error:
         log.error("unreadable configuration ignored", extra={"reason": repr(error)})
--- a/tests/test_gateway_path.py
+++ b/tests/test_gateway_path.py
@@ -477,6 +477,15 @@
         fixture.store.put("op/config", configuration(version=2, tenants=tenants))
         await self.until("/safe/a", 401)
 
+    async def test_a_key_of_the_last_customer_is_rejected_once_revoked(self):
+        # Every request ran, with any key or none.
+        self.current_fixture = fixture = await self.fixture("whole")
+        fixture.store.put("op/config", configuration(version=2, tenants=[]))
+        await self.until("/safe/a", 401)
+        for key in (KEY, "another", None):
+            status, *_ = await fixture.call("/safe/a", Credential=key)
+            self.assertEqual(status, 401)
+
     async def test_keys_get_a_503_while_the_copy_of_the_store_is_too_old(self):
         self.current_fixture = fixture = await self.fixture(
             "whole", strict_keys=True, freshness_limit_ms=1800.0
--- a/tests/test_gateway_routes.py
+++ b/tests/test_gateway_routes.py
@@ -25,7 +25,7 @@
     )
 
 
-def table(*routes, customers=()):
+def table(*routes, customers=None):
     return RouteTable(
         configuration=Configuration(version=1, routes=routes, customers=customers)
     )
@@ -70,6 +70,19 @@
             with self.assertRaises(UnknownKeyError):
                 routes.customer(route=route("/a/"), key=key)
 
+    def test_no_key_is_valid_once_there_are_no_customers(self):
+        # Every request ran, with any key or none.
+        routes = table(route("/a/"), customers=())
+        for key in ("", "k1"):
+            with self.assertRaises(UnknownKeyError):
+                routes.customer(route=route("/a/"), key=key)
+        opened = route("/a/", anonymous=True)
+        self.assertIsNone(routes.customer(route=opened, key="k1"))
+
+    def test_no_key_is_needed_where_keys_are_not_used(self):
+        routes = table(route("/a/"))
+        self.assertIsNone(routes.customer(route=route("/a/"), key=""))
+
     def test_an_anonymous_route_needs_no_key(self):
         routes = table(route("/a/"), customers=(self.customer,))
         opened = route("/a/", anonymous=True)
