Pass coded bodies of callers on as they were sent

Cause: the server library decodes bodies by default.

Change: the gateway's connections leave bodies as they are; entries still decode them, as they read the bodies and pass no such header on.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -198,6 +198,8 @@
         limits: Returns the limits in force, with the times ``idle_timeout_ms`` and
             ``header_timeout_ms``.
         head_line_limit_bytes: Longest request line and header field.
+        decodes_bodies: Whether bodies with a content coding are decoded as they are
+            read. A body that is passed on with its headers must not be.
         count_limit: Highest number of connections; by default a share of the
             process's descriptors.
 
@@ -211,11 +213,13 @@
         clock,
         limits,
         head_line_limit_bytes=HEAD_LINE_LIMIT_BYTES,
+        decodes_bodies=True,
         count_limit=None,
     ):
         self._clock = clock
         self._limits = limits
         self._head_line_limit_bytes = head_line_limit_bytes
+        self._decodes_bodies = decodes_bodies
         self._count_limit = count_limit or _descriptors_share()
         self._listener = None
         self.opened_count = 0
@@ -251,6 +255,7 @@
                 loop=loop,
                 access_log=None,
                 keepalive_timeout=NO_TIMEOUT_S,
+                auto_decompress=self._decodes_bodies,
                 max_line_size=self._head_line_limit_bytes,
                 max_field_size=self._head_line_limit_bytes,
             )
--- a/src/waxwinghold/_gateway/caller_server.py
+++ b/src/waxwinghold/_gateway/caller_server.py
@@ -87,6 +87,7 @@
             clock=self._clock,
             limits=lambda: gateway.limits,
             head_line_limit_bytes=PARSER_LIMIT_BYTES,
+            decodes_bodies=False,
         )
 
     @property
