Read the newest items in place of a watch's answer that is too long

Cause: the answer to a watch holds every version since a revision. One that cannot arrive in its time limit was asked for again and again, and grew.

Ruled out: the way between gateways, where one version takes 61 KB.

Change: a longer answer than arrives in one second over the narrowest link is not read. The items are read instead, turned into the change since the known revision, and passed on to the followers like any other large change.

--- a/src/waxwinghold/_gateway/client.py
+++ b/src/waxwinghold/_gateway/client.py
@@ -2,8 +2,9 @@
 
 import asyncio
 
+from .answer_sizes import BODY_LIMIT_BYTES
 from .connection import open_connection
-from .errors import SilentTargetError
+from .errors import BodyTooLongError, SilentTargetError
 
 MS_PER_SECOND = 1000
 # A round trip takes a few ms; TCP resends a lost packet after 1 s.
@@ -30,7 +31,15 @@
         head, body = await self.exchange(method, path, limit_ms=limit_ms, body=body)
         return head.status, body
 
-    async def exchange(self, method, path, *, limit_ms, body=None):
+    async def exchange(
+        self,
+        method,
+        path,
+        *,
+        limit_ms,
+        body=None,
+        body_limit_bytes=BODY_LIMIT_BYTES,
+    ):
         """Send a request and return the ``AnswerHead`` and the body of its answer.
 
         Concurrent calls are sent one after another.
@@ -41,14 +50,18 @@
             limit_ms: Longest time in milliseconds for this call, without the wait
                 for earlier calls.
             body: JSON to send, as bytes; ``None`` for no body.
+            body_limit_bytes: Longest body of the answer. A longer one is not read.
 
         Raises:
+            BodyTooLongError: The answer's body is longer.
             SendError: No complete answer arrived in time.
         """
         async with self._lock:
             try:
                 async with asyncio.timeout(limit_ms / MS_PER_SECOND):
-                    return await self._exchange(method, path, body)
+                    return await self._exchange(
+                        method, path, body, body_limit_bytes=body_limit_bytes
+                    )
             except TimeoutError as error:
                 self.close()
                 reason = f"no answer within {limit_ms:.0f} ms"
@@ -63,14 +76,18 @@
             self._connection.abort()
             self._connection = None
 
-    async def _exchange(self, method, path, body):
+    async def _exchange(self, method, path, body, *, body_limit_bytes):
         connection = self._connection
         if connection is None or not connection.reusable:
             self.close()
             connection = await open_connection(self._address, limit_ms=CONNECT_LIMIT_MS)
             self._connection = connection
-        connection.send(self._request(method, path, body))
+        connection.send(
+            self._request(method, path, body), body_limit_bytes=body_limit_bytes
+        )
         head = await connection.head()
+        if int(head.get(b"content-length") or 0) > body_limit_bytes:
+            raise BodyTooLongError(what="body", limit=f"{body_limit_bytes} bytes")
         return head, await connection.whole_body()
 
     def _request(self, method, path, body):
--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -11,6 +11,7 @@
 import msgspec
 
 from .._errors import WaxwingError
+from .._gateway.answer_sizes import BODY_LIMIT_BYTES
 from .._gateway.client import KeepAliveClient
 from .._gateway.errors import BodyTooLongError, SendError
 from .._gateway.notices import Count
@@ -33,6 +34,10 @@
 OK = 200
 HISTORY_GONE = 410
 ANSWER_LIMIT_MS = 1500.0  # A slow store takes about 50 times its usual 4 ms.
+# A longer answer to a watch is not read: it holds every version of a value, which takes
+# longer than its time limit over a narrow link. The items hold one version.
+CHANGES_LIMIT_BYTES = 1_750_000  # One second over 14 Mbit/s.
+CONFIGURATION_RATIO = 2.0  # Of the limit to the last configuration, at least.
 RANGE_LIMIT_BYTES = 32 * 1024 * 1024  # About 30 pages of the usual 1 MB.
 RANGE_PAGES_LIMIT_COUNT = 1000
 RETRY_BASE_MS = 150.0
@@ -138,13 +143,16 @@
     return answer.body
 
 
-async def ask_store(client, path, *, limit_ms, **query):
+async def ask_store(
+    client, path, *, limit_ms, body_limit_bytes=BODY_LIMIT_BYTES, **query
+):
     """Send a read call to the store and return the ``StoreAnswer``.
 
     Args:
         client: The ``KeepAliveClient`` of the store.
         path: Path of the call.
         limit_ms: Time limit of the call.
+        body_limit_bytes: Longest body of the answer.
         query: Parameters of the query string.
 
     Raises:
@@ -152,7 +160,12 @@
     """
     path_and_query = f"{path}?{urllib.parse.urlencode(query)}"
     try:
-        head, body = await client.exchange("GET", path_and_query, limit_ms=limit_ms)
+        head, body = await client.exchange(
+            "GET",
+            path_and_query,
+            limit_ms=limit_ms,
+            body_limit_bytes=body_limit_bytes,
+        )
     except SendError as error:
         raise StoreError(status=None, reason=repr(error)) from error
     if head.status != OK:
@@ -220,6 +233,7 @@
         self._client = KeepAliveClient(address=address)
         self._rng = rng or random.Random()
         self._targets = {}
+        self._keys = set()  # Of the operator's items and of those of targets.
         self._evacuation_keys = EvacuationKeys()
         self._era = 0
         self._revision = None
@@ -289,18 +303,8 @@
         events = [item for part in changes for item in part.events]
         last = {item.key: item for item in events}
         last[CONFIGURATION_KEY] = self._newest_configuration(events)
-        packed = [
-            _PackedItem(
-                key=item.key,
-                value=item_value(item),
-                revision=item.revision,
-                deleted=item.deleted,
-            )
-            for item in events
-            if item is last[item.key]
-        ]
-        return PACKED + _packed_encoder.encode(
-            _PackedEvents(events=packed, at=changes[-1].at)
+        return _pack(
+            [item for item in events if item is last[item.key]], at=changes[-1].at
         )
 
     def _newest_configuration(self, events):
@@ -355,15 +359,12 @@
 
     async def _read_all(self):
         """Read the configuration, the evacuations and all targets anew."""
-        operator_items, revision, era = await read_range(self._client, OPERATOR_PREFIX)
-        target_items, _, targets_era = await read_range(self._client, TARGETS_PREFIX)
-        if targets_era != era:
-            raise StoreError(status=None, reason="an era began between two reads")
-        self._check_era(era)
+        operator_items, target_items, revision, era = await self._read_items()
         if era > self._era and self._era:
             self._begin_era(era)
         self._era = era
         self._targets = {}
+        self._keys = {item.key for item in (*operator_items, *target_items)}
         for item in target_items:
             self._apply_target(item)
         for item in operator_items:
@@ -378,6 +379,18 @@
         self._revision = revision
         self._readers.record_read(self._position(revision))
 
+    async def _read_items(self):
+        """Return the operator's items, those of targets, their revision and era.
+
+        The revision is that of the first page: later changes may be missing.
+        """
+        operator_items, revision, era = await read_range(self._client, OPERATOR_PREFIX)
+        target_items, _, targets_era = await read_range(self._client, TARGETS_PREFIX)
+        if targets_era != era:
+            raise StoreError(status=None, reason="an era began between two reads")
+        self._check_era(era)
+        return operator_items, target_items, revision, era
+
     async def _watch(self, after, wait_ms):
         """Apply the changes after revision ``after``.
 
@@ -389,28 +402,62 @@
         try:
             limit_ms = wait_ms + ANSWER_LIMIT_MS
             answer = await ask_store(
-                self._client, "/v1/kv-watch", limit_ms=limit_ms, **query
+                self._client,
+                "/v1/kv-watch",
+                limit_ms=limit_ms,
+                body_limit_bytes=self._changes_limit_bytes(),
+                **query,
             )
         except StoreError as error:
-            # Pages have a size of their own; the changes since a revision have none.
-            too_long = isinstance(error.__cause__, BodyTooLongError)
-            if error.status == HISTORY_GONE or too_long:
+            if isinstance(error.__cause__, BodyTooLongError):
+                await self._read_newest(after)
+                return
+            if error.status == HISTORY_GONE:
                 log.info(
                     "store dropped the history since the last read",
-                    extra={"at": self._revision, "too_long": too_long},
+                    extra={"at": self._revision},
                 )
                 self._revision = None
                 self._readers.reset()
             raise
         self._check_era(answer.era)
-        changes = _events_decoder.decode(answer.body)
+        self._apply_read(_events_decoder.decode(answer.body), after, answer.body)
+
+    def _changes_limit_bytes(self):
+        """Return the longest answer to a watch; one version always fits into it."""
+        configuration_bytes = len(self._readable_data or b"")
+        return max(CHANGES_LIMIT_BYTES, int(CONFIGURATION_RATIO * configuration_bytes))
+
+    async def _read_newest(self, after):
+        """Read the items in place of all their changes after revision ``after``."""
+        operator_items, target_items, revision, _ = await self._read_items()
+        listed = {item.key: item for item in (*operator_items, *target_items)}
+        events = [item for item in listed.values() if item.revision > after]
+        events += [
+            _Item(key=key, revision=revision, deleted=True)
+            for key in sorted(self._keys - listed.keys())
+        ]
+        log.info(
+            "items read in place of many changes",
+            extra={"after": after, "at": revision, "changed": len(events)},
+        )
+        changes = _Events(events=events, at=revision)
+        self._apply_read(changes, after, _pack(events, at=revision))
+
+    def _apply_read(self, changes, after, answer):
+        """Apply changes that were read from the store.
+
+        Args:
+            changes: All that changed after revision ``after``.
+            answer: The same, as bytes for the other gateways.
+        """
         if after < self._revision and changes.at <= self._revision:
             return  # Meanwhile another gateway passed on the same changes, or more.
         self._apply_events(changes)
         self._readers.record_read(
             self._position(self._revision),
             after=self._position(after),
-            answer=answer.body,
+            answer=answer,
         )
 
     def _apply_events(self, changes):
@@ -419,6 +466,10 @@
             self._published.record_evacuations(evacuations)
         changed = False
         for item in changes.events:
+            if item.deleted:
+                self._keys.discard(item.key)
+            elif item.key.startswith((OPERATOR_PREFIX, TARGETS_PREFIX)):
+                self._keys.add(item.key)
             if item.key == CONFIGURATION_KEY:
                 self._apply_configuration(item)
             elif item.key.startswith(TARGETS_PREFIX):
@@ -473,6 +524,20 @@
     raise MalformedEraError(status=head.status, reason="malformed era")
 
 
+def _pack(events, *, at):
+    """Return items and the revision that they lead to, as bytes."""
+    packed = [
+        _PackedItem(
+            key=item.key,
+            value=item_value(item),
+            revision=item.revision,
+            deleted=item.deleted,
+        )
+        for item in events
+    ]
+    return PACKED + _packed_encoder.encode(_PackedEvents(events=packed, at=at))
+
+
 def _decode_changes(answer):
     if answer.startswith(PACKED):
         return _packed_decoder.decode(answer[len(PACKED) :])
--- a/tests/support/data_centre.py
+++ b/tests/support/data_centre.py
@@ -13,7 +13,7 @@
 
 from waxwinghold._gateway import notices
 from waxwinghold._gateway.connection import AnswerHead
-from waxwinghold._gateway.errors import SilentTargetError
+from waxwinghold._gateway.errors import BodyTooLongError, SilentTargetError
 from waxwinghold._gateway.published_state import PublishedState
 from waxwinghold._gateway.readers import StoreReaders, reader_policy
 from waxwinghold._gateway.targets import TargetPool
@@ -63,8 +63,12 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def answer(self, ip, path_and_query):
-        """Return the body of the answer to a call of the gateway at ``ip``."""
+    async def answer(self, ip, path_and_query, *, body_limit_bytes):
+        """Return the body of the answer to a call of the gateway at ``ip``.
+
+        Raises:
+            BodyTooLongError: Its length, which precedes it, is above the limit.
+        """
         path, _, text = path_and_query.partition("?")
         query = dict(urllib.parse.parse_qsl(text, keep_blank_values=True))
         self.calls[ip] += 1
@@ -77,6 +81,9 @@
                 if key.startswith(query["prefix"])
             ]
             body = f'{{"items":[{",".join(items)}],"at":{self.revision}}}'
+        if len(body) > body_limit_bytes:
+            await asyncio.sleep(STORE_MS / 1000)
+            raise BodyTooLongError(what="body", limit=f"{body_limit_bytes} bytes")
         self.bytes[ip] += len(body)
         await asyncio.sleep((STORE_MS + len(body) / self._bytes_per_ms) / 1000)
         return body.encode()
@@ -132,10 +139,12 @@
         )
         self.watcher._client = self
 
-    async def exchange(self, method, path, *, limit_ms, body=None):
+    async def exchange(self, method, path, *, limit_ms, body_limit_bytes):
         try:
             async with asyncio.timeout(limit_ms / 1000):
-                answer = await self._world.store.answer(self._ip, path)
+                answer = await self._world.store.answer(
+                    self._ip, path, body_limit_bytes=body_limit_bytes
+                )
         except TimeoutError as error:
             raise SilentTargetError("no answer of the store") from error
         return AnswerHead(status=200, headers=()), answer
--- a/tests/test_fuzz_answers.py
+++ b/tests/test_fuzz_answers.py
@@ -90,7 +90,7 @@
         self._bodies = list(bodies)
         self._headers = headers
 
-    async def exchange(self, method, path, *, limit_ms, body=None):
+    async def exchange(self, method, path, *, limit_ms, body=None, **limits):
         answer = self._bodies.pop(0) if len(self._bodies) > 1 else self._bodies[0]
         return AnswerHead(status=200, headers=self._headers), answer
 
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -8,15 +8,18 @@
 
 from waxwinghold._clock import Clock
 from waxwinghold._gateway.client import KeepAliveClient
+from waxwinghold._gateway.errors import BodyTooLongError
 from waxwinghold._gateway.model import Target
 from waxwinghold._gateway.published_state import PublishedState
 from waxwinghold._gateway.readers import StoreReaders, UnreadableChangesError
 from waxwinghold._gateway.targets import TargetPool
 from waxwinghold.platform.store import (
+    PACKED,
     REVISIONS_PER_ERA_COUNT,
     StoreAnswer,
     StoreError,
     StoreWatcher,
+    _decode_changes,
     read_range,
     read_store,
 )
@@ -188,6 +191,53 @@
         self.store.fault = ""
         await self.until(lambda: self.names() == {"i-1", "i-2"})
 
+    async def test_items_in_place_of_changes_show_what_was_deleted_and_added(self):
+        for name in ("i-1", "i-2"):
+            self.put_worker(name)
+        self.store.put("op/evacuate/dc-a", "")
+        self.start()
+        await self.until(lambda: self.names() == {"i-1", "i-2"})
+        evacuations = self.target_pool.evacuations
+        await self.until(lambda: "dc-a" in list(evacuations))
+        passed_on = []
+        record_read = self.watcher._readers.record_read
+
+        def record(at, **read):
+            passed_on.append(read)
+            record_read(at, **read)
+
+        self.watcher._readers.record_read = record
+        self.store.fault = "busy"
+        await asyncio.sleep(0.1)
+        self.store.delete("servers/i-1")
+        self.store.delete("op/evacuate/dc-a")
+        self.put_worker("i-3")
+        for version in range(2, 6):
+            self.store.put("others/1", version)
+            self.store.put("op/config", configuration(version) | {"x": "y" * 500_000})
+        self.store.fault = ""
+        await self.until(lambda: self.version == 5)
+        self.assertEqual(self.names(), {"i-2", "i-3"})
+        self.assertNotIn("dc-a", list(evacuations))
+        # The other gateways get the same, with one version of the configuration.
+        (read,) = [read for read in passed_on if read.get("answer", b"")[:1] == PACKED]
+        keys = [item.key for item in _decode_changes(read["answer"]).events]
+        self.assertEqual(
+            sorted(keys),
+            ["op/config", "op/evacuate/dc-a", "servers/i-1", "servers/i-3"],
+        )
+
+    async def test_an_answer_above_a_limit_of_the_call_is_not_read(self):
+        self.put_worker("i-1")
+        client = KeepAliveClient(address=self.store.address)
+        self.addCleanup(client.close)
+        path = "/v1/kv-range?prefix=servers/"
+        with self.assertRaises(BodyTooLongError):
+            await client.exchange("GET", path, limit_ms=500, body_limit_bytes=20)
+        head, body = await client.exchange("GET", path, limit_ms=500)
+        self.assertEqual(head.status, 200)
+        self.assertIn(b"i-1", body)
+
     async def test_the_watch_recovers_from_each_fault(self):
         self.start()
         for fault in ("busy", "many", "reset", "silent"):
