--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -143,11 +143,11 @@
         An answer that is complete is passed on also after the request's end; the
         caller's connection limits how long that takes.
         """
-        limit_ms = max(0.0, self._left_ms())
-        while not await self._changes_within(limit_ms):
-            if limit_ms == END_GRACE_MS and not self._progress.is_complete:
+        if await self._changes_within(max(0.0, self._left_ms())):
+            return True
+        while not await self._changes_within(END_GRACE_MS):
+            if not self._progress.is_complete:
                 return False
-            limit_ms = END_GRACE_MS
         return True
 
     async def _changes_within(self, limit_ms):
--- a/src/waxwinghold/_gateway/client.py
+++ b/src/waxwinghold/_gateway/client.py
@@ -86,7 +86,8 @@
             self._request(method, path, body), body_limit_bytes=body_limit_bytes
         )
         head = await connection.head()
-        if int(head.get(b"content-length") or 0) > body_limit_bytes:
+        length = head.get(b"content-length") or ""
+        if length.isdecimal() and int(length) > body_limit_bytes:
             raise BodyTooLongError(what="body", limit=f"{body_limit_bytes} bytes")
         return head, await connection.whole_body()
 
