--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -30,6 +30,8 @@
         endless: Kind of the ``ENDLESS`` answers for the behaviours ``endless``,
             ``endless_shed`` and ``endless_late``.
         endless_bytes: Bytes of endless answers sent so far.
+        stray_bytes: Bytes sent before the answer, for the behaviour ``after_stray``.
+        after_stray: Behaviour that selects the answer behind them.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
         limit_text: Value of ``Server-Limit`` in answers; empty for none.
         body: Body of an answer that is not a stream.
@@ -67,6 +69,8 @@
         self.limit_text = ""
         self.endless = "chunked"
         self.endless_bytes = 0
+        self.stray_bytes = b""
+        self.after_stray = "failing"
         self.name = name
         self.behaviour = behaviour
         self.events_count = events_count
@@ -248,6 +252,13 @@
         writer.write(answer_bytes(200, headers, self.body))
         return True
 
+    async def _answer_after_stray(self, request, writer):
+        """Send ``stray_bytes`` before the expected answer."""
+        writer.write(self.stray_bytes)
+        await writer.drain()
+        await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+        return await getattr(self, f"_answer_{self.after_stray}")(request, writer)
+
     async def _answer_shed_twice(self, request, writer):
         """Reject the request, and send the same rejection once more."""
         rejection = answer_bytes(503, [("Not-Executed", "1")], b"full")
