Log which answers of targets are in doubt, and why

The log line 'answer in doubt' names the address, the reason and the number of requests on the connection; the gauge doubtful_answers counts them on gateways and agents. No decision is changed.

--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -14,6 +14,7 @@
 import httptools
 import logbook
 
+from .answer_doubts import Doubt, answer_doubts
 from .answer_sizes import (
     BODY_LIMIT_BYTES,
     HEAD_FIELDS_LIMIT_COUNT,
@@ -45,6 +46,7 @@
 BODILESS_STATUSES = frozenset({204, 304})
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
+STATUS_LINE_PATTERN = re.compile(rb"HTTP/\d\.\d \d{3}")
 IDLE_LIMIT_PATTERN = re.compile("[0-9]{1,9}")
 _END = object()
 
@@ -78,11 +80,13 @@
             gateway's clock.
         idle_limit_ms: Time for which the target keeps the connection open while
             idle, in milliseconds, or ``None`` if it did not announce one.
+        requests_count: Number of requests that were sent on it.
     """
 
     def __init__(self):
         self.idle_since_ms = 0.0
         self.idle_limit_ms = None
+        self.requests_count = 0
         self._parser = httptools.HttpResponseParser(self)
         self._transport = None
         self._pieces = deque()
@@ -90,6 +94,7 @@
         self._waiter = None
         self._failure = None
         self._headers = []
+        self._reason = b""
         self._head_bytes = 0
         self._is_interim = False
         # Received since the last head, piece of a body or end of an answer.
@@ -104,6 +109,12 @@
         self._keep_alive = True
         self._paused = False
 
+    @property
+    def peer_name(self):
+        """Return the target's address as ``ip:port``, or ``None`` if it is unknown."""
+        address = self._transport.get_extra_info("peername")
+        return "{}:{}".format(*address[:2]) if address else None
+
     @property
     def reusable(self):
         """Whether the next request may be sent on this connection."""
@@ -128,6 +139,7 @@
         self._body_limit_bytes = body_limit_bytes
         self._skips = False
         self._skipped_count = 0
+        self.requests_count += 1
         self._transport.write(data)
 
     def lift_body_limit(self):
@@ -173,11 +185,17 @@
         if piece is _END:
             self._answered = True
             answer_sizes.release(self)
+            if not self._skips and self._has_extra_bytes():
+                answer_doubts.record(Doubt.EXTRA_BYTES, self)
             return b""
         if isinstance(piece, AnswerHead):
             raise MalformedAnswerError("a second answer began inside the first")
         return piece
 
+    def _has_extra_bytes(self):
+        """Return whether bytes have arrived behind the answer that has ended."""
+        return bool(self._pieces) or isinstance(self._failure, MalformedAnswerError)
+
     async def whole_body(self):
         """Return the whole body of the current answer."""
         parts = []
@@ -222,6 +240,7 @@
     def data_received(self, data):
         if self._answered:
             # The bytes belong to no request, so nothing after them can be trusted.
+            answer_doubts.record(Doubt.EXTRA_BYTES, self)
             self._fail(
                 MalformedAnswerError("bytes received after the end of an answer")
             )
@@ -282,9 +301,13 @@
 
     def on_message_begin(self):
         self._headers = []
+        self._reason = b""
         if not self._is_interim:
             self._head_bytes = 0
 
+    def on_status(self, reason):
+        self._reason += reason  # It may arrive in several pieces.
+
     def on_header(self, name, value):
         self._head_bytes += len(name) + len(value) + FIELD_FRAMING_BYTES
         if self._head_bytes > HEAD_LIMIT_BYTES:
@@ -299,6 +322,8 @@
         if self._is_interim:
             return
         head = AnswerHead(status=status, headers=tuple(self._headers))
+        if has_status_line(self._reason, head.headers):
+            answer_doubts.record(Doubt.JOINED, self, status=status)
         framed = any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in head.headers
@@ -341,11 +366,10 @@
         """End the connection for an ``AnswerTooLongError``, and return the error."""
         if self._failure is None:
             answer_sizes.overlong_count += 1
-            address = self._transport.get_extra_info("peername")
             log.warn(
                 "answer too long, connection reset",
                 extra={
-                    "address": "{}:{}".format(*address[:2]) if address else None,
+                    "address": self.peer_name,
                     "code": error.code,
                     "what": error.what,
                     "limit": error.limit,
@@ -437,6 +461,17 @@
     return PIECE_BYTES
 
 
+def has_status_line(reason, headers):
+    """Return whether a status line stands inside the head of an answer.
+
+    Args:
+        reason: The reason phrase of the head's own status line.
+        headers: ``(name, value)`` pairs.
+    """
+    texts = (reason, *(value for _, value in headers))
+    return any(STATUS_LINE_PATTERN.search(text) for text in texts)
+
+
 def _announced_idle_limit_ms(head):
     """Return the idle time-out in the answer's ``Keep-Alive`` header, or ``None``."""
     for part in (head.get(b"keep-alive") or "").split(","):
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -18,6 +18,7 @@
 from .._tasks import ProcessTasks
 from .._verdict import Ran
 from .admission_queue import AdmissionQueue
+from .answer_doubts import answer_doubts
 from .answer_sizes import answer_sizes
 from .attempts import REJECTIONS, Attempts
 from .caller_server import CallerServer
@@ -76,6 +77,7 @@
         self.codec = codec
         self.metrics = Metrics(process=settings.name)
         self.metrics.gauge("overlong_answers", lambda: answer_sizes.overlong_count)
+        self.metrics.gauge("doubtful_answers", lambda: answer_doubts.count)
         self.target_pool = TargetPool(clock=clock)
         self.target_pool.limits_passes = settings.limit_passes
         self.published = PublishedState(
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -7,6 +7,7 @@
 
 from .._decisions.crash_suspects import RequestContent, shows_run
 from .._decisions.sends import SHORTEST_SEND_MS
+from .answer_doubts import Doubt, answer_doubts
 from .errors import (
     ConnectionLostError,
     FailedAnswerError,
@@ -207,6 +208,13 @@
             metadata = self._gateway.codec.read_answer(head)
             self._record_signals(target, metadata)
             self._record_limit(target, head, metadata)
+            if metadata.request_id is None and connection.requests_count > 1:
+                answer_doubts.record(
+                    Doubt.UNNAMED,
+                    connection,
+                    request=self._call.request_id,
+                    status=head.status,
+                )
             if metadata.request_id in (None, self._call.request_id):
                 self._record_load(target, metadata)
                 return head, metadata
--- a/src/waxwinghold/_ranks/agent.py
+++ b/src/waxwinghold/_ranks/agent.py
@@ -10,6 +10,7 @@
 import logbook
 import msgspec
 
+from .._gateway.answer_doubts import answer_doubts
 from .._gateway.answer_sizes import answer_sizes
 from .._gateway.endpoint import NoticeEndpoint
 from .._gateway.errors import SendError
@@ -168,7 +169,10 @@
 
     def _gauges(self):
         report = self._report
-        gauges = {"overlong_answers": answer_sizes.overlong_count}
+        gauges = {
+            "overlong_answers": answer_sizes.overlong_count,
+            "doubtful_answers": answer_doubts.count,
+        }
         if report is None:
             return gauges
         return gauges | {
