--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -11,6 +11,67 @@
 from .support.loop_case import LoopCase
 
 EARLIER_BODY = b"the answer to an earlier request"
+EARLIER_HEADERS = (
+    ("Server-Seal", "seal.earlier"),
+    ("Content-Type", "text/plain"),
+    ("Attempt-Id", "earlier"),
+)
+STATUSES = {"whole": 200, "failing": 500}
+
+
+class JoinedAnswersTests(LoopCase):
+    """The head of a broken-off copy was joined with the answer that followed it.
+
+    The caller got the status of the copy with the id, seal and body of the answer.
+    """
+
+    async def outcome(self, fixture, number):
+        """Return status, seal and body of an answer on a kept connection."""
+        (worker,) = fixture.workers
+        behaviour, worker.behaviour = worker.behaviour, "whole"
+        status, _, _ = await fixture.call("/safe/a", request_id=f"before-{number}")
+        self.assertEqual(status, 200)
+        worker.behaviour = behaviour
+        connections_count = worker.connections_count
+        async with asyncio.timeout(5.0):
+            status, headers, body = await fixture.call(
+                "/safe/a", request_id=f"due-{number}", Deadline_Ms="400"
+            )
+        self.assertEqual(worker.connections_count, connections_count)
+        return status, headers.get("Server-Seal"), body
+
+    async def assert_never_joined(self, *, earlier_status, due, headers):
+        copy = answer_bytes(earlier_status, headers, EARLIER_BODY)
+        head_bytes = len(copy) - len(EARLIER_BODY)
+        async with GatewayFixture(behaviours=["after_stray"]).open() as fixture:
+            (worker,) = fixture.workers
+            target = fixture.gateway.target_pool.get(worker.name)
+            target.record_failure = lambda *, now_ms: None  # It stays in use.
+            worker.event_ms = 0.0
+            worker.after_stray = due
+            for cut_bytes in range(head_bytes):
+                worker.stray_bytes = copy[:cut_bytes]
+                status, seal, body = await self.outcome(fixture, cut_bytes)
+                with self.subTest(cut=worker.stray_bytes[-24:], status=status):
+                    if seal is None:  # The gateway's own refusal.
+                        self.assertIn(status, (502, 504))
+                        continue
+                    self.assertEqual(status, STATUSES[due])
+                    self.assertEqual(seal, f"seal.{worker.name}")
+                    if due == "whole":
+                        self.assertEqual(body, worker.body)
+
+    async def test_a_failure_behind_a_broken_off_copy_is_no_success(self):
+        for headers in (EARLIER_HEADERS, EARLIER_HEADERS[::-1]):
+            await self.assert_never_joined(
+                earlier_status=200, due="failing", headers=headers
+            )
+
+    async def test_a_success_behind_a_broken_off_copy_keeps_its_status(self):
+        for status in (206, 404, 500):
+            await self.assert_never_joined(
+                earlier_status=status, due="whole", headers=EARLIER_HEADERS
+            )
 
 
 class AnswerDoubtsTests(LoopCase):
