Refuse an answer with the beginning of another one inside its head

A target had sent a copy of an earlier answer on a kept connection, broken off inside its head, and then the answer that was due. To the parser the second status line is a part of the first reason phrase, or of the value of a field: the head has the status of the copy, and the id, the seal and the body of the answer. The id was right, so nothing was in doubt.

A status line may stand only where an answer begins. A head, an interim head or a trailer with one inside is now malformed, whatever the cut: the connection is reset, and the request ends as one whose answer was lost. The answer that was due is whole, but which status is its own cannot be told from the bytes in general. Sound targets keep their connections: a Via field that names the protocol has no status behind it.

Ruled out: the id alone, since the joined head has the right one; refusing duplicate fields, since a cut in the reason phrase leaves none.

--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -14,6 +14,7 @@
 import httptools
 import logbook
 
+from .._decisions.answer_origin import has_joined_head
 from .answer_doubts import Doubt, answer_doubts
 from .answer_sizes import (
     BODY_LIMIT_BYTES,
@@ -46,7 +47,6 @@
 BODILESS_STATUSES = frozenset({204, 304})
 SWITCHING_PROTOCOLS = 101
 FIRST_FINAL_STATUS = 200
-STATUS_LINE_PATTERN = re.compile(rb"HTTP/\d\.\d \d{3}")
 IDLE_LIMIT_PATTERN = re.compile("[0-9]{1,9}")
 _END = object()
 
@@ -254,11 +254,13 @@
         except AnswerTooLongError as error:
             self._refuse(error)
         except httptools.HttpParserError as error:
-            cause = error.__context__
+            cause = error.__context__  # Raised in a method that the parser called.
             if isinstance(cause, AnswerTooLongError):
                 self._refuse(cause)
                 return
-            self._fail(MalformedAnswerError(f"not a valid HTTP answer: {error}"))
+            if not isinstance(cause, MalformedAnswerError):
+                cause = MalformedAnswerError(f"not a valid HTTP answer: {error}")
+            self._fail(cause)
             self.abort()
         except httptools.HttpParserUpgrade:
             self._fail(MalformedAnswerError("the target changed the protocol"))
@@ -318,12 +320,11 @@
 
     def on_headers_complete(self):
         status = self._parser.get_status_code()
+        self._check_fields()
         self._is_interim = status < FIRST_FINAL_STATUS and status != SWITCHING_PROTOCOLS
         if self._is_interim:
             return
         head = AnswerHead(status=status, headers=tuple(self._headers))
-        if has_status_line(self._reason, head.headers):
-            answer_doubts.record(Doubt.JOINED, self, status=status)
         framed = any(
             name in (b"content-length", b"transfer-encoding")
             for name, _ in head.headers
@@ -345,9 +346,22 @@
     def on_message_complete(self):
         if self._is_interim:
             return
+        self._check_fields()
         self._in_body = False
         self._put(_END)
 
+    def _check_fields(self):
+        """Check that the head or trailer that ends holds no part of another answer.
+
+        Raises:
+            MalformedAnswerError: It does.
+        """
+        if has_joined_head((self._reason, *(value for _, value in self._headers))):
+            answer_doubts.record(
+                Doubt.JOINED, self, status=self._parser.get_status_code()
+            )
+            raise MalformedAnswerError("another answer begins inside the answer")
+
     def _put(self, piece):
         self._framing_bytes = 0
         self._pieces.append(piece)
@@ -461,17 +475,6 @@
     return PIECE_BYTES
 
 
-def has_status_line(reason, headers):
-    """Return whether a status line stands inside the head of an answer.
-
-    Args:
-        reason: The reason phrase of the head's own status line.
-        headers: ``(name, value)`` pairs.
-    """
-    texts = (reason, *(value for _, value in headers))
-    return any(STATUS_LINE_PATTERN.search(text) for text in texts)
-
-
 def _announced_idle_limit_ms(head):
     """Return the idle time-out in the answer's ``Keep-Alive`` header, or ``None``."""
     for part in (head.get(b"keep-alive") or "").split(","):
