Take an answer without an id only for that of its connection's only request

An answer that names no request is now believed only on a connection that has carried one request; else it is malformed, unless it is a rejection. Such a connection is not kept, so a late copy meets no other request, and a request without an id gets a connection of its own. Targets that name their requests, as the platform says, keep their connections.

Rejections without an id stay as they were: only repeatable requests are sent on kept connections, and a false rejection lets them run again at most.

--- a/src/waxwinghold/_gateway/codec.py
+++ b/src/waxwinghold/_gateway/codec.py
@@ -59,7 +59,7 @@
     """The information in the headers of a target's answer.
 
     Args:
-        request_id: Id of the request that is answered; ``None`` if it is not given.
+        request_id: Id of the request that is answered; empty if it is not given.
         executed: ``False`` if the target did not run the request.
         load: ``(running, waiting)`` counts of the target, or ``None``.
         culprit: Name of another target that caused a rejection, or an empty
@@ -72,7 +72,7 @@
         has_unreadable_limit: Whether it names one that cannot be read.
     """
 
-    request_id: str | None
+    request_id: str
     executed: bool
     load: tuple[int, int] | None
     culprit: str
--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -150,6 +150,10 @@
         self._body_limit_bytes = None
         answer_sizes.release(self)
 
+    def close_after_answer(self):
+        """Send no further request on this connection."""
+        self._keep_alive = False
+
     @property
     def has_arrived(self):
         """Whether the next part of an answer, or its failure, can be read at once."""
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -5,6 +5,7 @@
 
 import logbook
 
+from .._decisions.answer_origin import AnswerOrigin, answer_origin
 from .._decisions.crash_suspects import RequestContent, shows_run
 from .._decisions.sends import SHORTEST_SEND_MS
 from .answer_doubts import Doubt, answer_doubts
@@ -162,7 +163,9 @@
         """
         route = self._route
         connection = await target.connections.acquire(
-            fresh=not route.repeatable, limit_ms=self._left_ms()
+            # The answer to a request without an id cannot be told from earlier ones.
+            fresh=not route.repeatable or not self._call.request_id,
+            limit_ms=self._left_ms(),
         )
         if not target.accepts_requests(now_ms=self._clock.now_ms()):
             target.connections.release(connection)
@@ -208,14 +211,17 @@
             metadata = self._gateway.codec.read_answer(head)
             self._record_signals(target, metadata)
             self._record_limit(target, head, metadata)
-            if metadata.request_id is None and connection.requests_count > 1:
-                answer_doubts.record(
-                    Doubt.UNNAMED,
-                    connection,
-                    request=self._call.request_id,
-                    status=head.status,
-                )
-            if metadata.request_id in (None, self._call.request_id):
+            origin = answer_origin(
+                answer_id=metadata.request_id,
+                request_id=self._call.request_id,
+                requests_count=connection.requests_count,
+            )
+            if origin is AnswerOrigin.UNKNOWN:
+                self._check_unnamed(connection, head, metadata)
+            if origin is not AnswerOrigin.EARLIER:
+                if not metadata.request_id:
+                    # A late copy of this answer could not be told from the next one.
+                    connection.close_after_answer()
                 self._record_load(target, metadata)
                 return head, metadata
             # A second, late answer to an earlier request on this connection.
@@ -228,6 +234,22 @@
             )
             await self._within(connection.skip_body(), self._left_ms())
 
+    def _check_unnamed(self, connection, head, metadata):
+        """Check an answer that may be the one to an earlier request.
+
+        Raises:
+            MalformedAnswerError: It is not a rejection. Only repeatable requests are
+                sent on kept connections, and those may run after a false rejection.
+        """
+        answer_doubts.record(
+            Doubt.UNNAMED,
+            connection,
+            request=self._call.request_id,
+            status=head.status,
+        )
+        if metadata.executed:
+            raise MalformedAnswerError("the answer names no request")
+
     async def _pass_whole(self, target, connection, head):
         parts = []
         while data := await self._piece(connection, connection.body):
--- a/src/waxwinghold/platform/codec.py
+++ b/src/waxwinghold/platform/codec.py
@@ -78,7 +78,7 @@
         is_rejected = head.status == MISDIRECTED or head.get(NOT_EXECUTED) is not None
         limit_per_second, has_unreadable_limit = self._limit(head)
         return AnswerMetadata(
-            request_id=head.get(REQUEST_ID),
+            request_id=(head.get(REQUEST_ID) or "").strip(),
             executed=not is_rejected,
             load=_load(head.get(LOAD)),
             culprit=head.get(CULPRIT) or "",
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -1,6 +1,7 @@
 """Stand-in for a worker of the users' platform, with selectable faulty behaviour."""
 
 import asyncio
+import weakref
 
 from ._endless import send_blocks, send_endless
 from ._raw_http import RawServer, answer_bytes, reset_connection
@@ -30,8 +31,10 @@
         endless: Kind of the ``ENDLESS`` answers for the behaviours ``endless``,
             ``endless_shed`` and ``endless_late``.
         endless_bytes: Bytes of endless answers sent so far.
-        stray_bytes: Bytes sent before the answer, for the behaviour ``after_stray``.
+        stray_bytes: Bytes sent before each answer but the first of a connection, for
+            the behaviour ``after_stray``.
         after_stray: Behaviour that selects the answer behind them.
+        names_requests: Whether answers have the ``Attempt-Id`` of their request.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
         limit_text: Value of ``Server-Limit`` in answers; empty for none.
         body: Body of an answer that is not a stream.
@@ -71,6 +74,8 @@
         self.endless_bytes = 0
         self.stray_bytes = b""
         self.after_stray = "failing"
+        self.names_requests = True
+        self._kept_writers = weakref.WeakSet()  # Of connections with an answer.
         self.name = name
         self.behaviour = behaviour
         self.events_count = events_count
@@ -93,7 +98,9 @@
         if self.crash_path and self.crash_path == request.path:
             self.record_run(request)
             return self._crash()
-        return await getattr(self, f"_answer_{self.behaviour}")(request, writer)
+        is_kept = await getattr(self, f"_answer_{self.behaviour}")(request, writer)
+        self._kept_writers.add(writer)
+        return is_kept
 
     async def stop(self):
         if self._restart_task is not None:
@@ -130,8 +137,9 @@
         attempt_id = request.headers.get("attempt-id", "")
         self.runs.append(attempt_id)
         # Server-Load: running and waiting requests, and a number the gateway ignores.
+        name = [("Attempt-Id", attempt_id)] if self.names_requests else []
         return [
-            ("Attempt-Id", attempt_id),
+            *name,
             (SEAL_HEADER, f"seal.{self.name}"),
             ("Server-Load", f"{self.running_count},0,6"),
             *self._signal_headers(),
@@ -253,10 +261,11 @@
         return True
 
     async def _answer_after_stray(self, request, writer):
-        """Send ``stray_bytes`` before the expected answer."""
-        writer.write(self.stray_bytes)
-        await writer.drain()
-        await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+        """Send ``stray_bytes`` before the expected answer on a kept connection."""
+        if writer in self._kept_writers:
+            writer.write(self.stray_bytes)
+            await writer.drain()
+            await asyncio.sleep(self.event_ms / MS_PER_SECOND)
         return await getattr(self, f"_answer_{self.after_stray}")(request, writer)
 
     async def _answer_shed_twice(self, request, writer):
--- a/tests/test_decisions_answer_origin.py
+++ b/tests/test_decisions_answer_origin.py
@@ -2,7 +2,11 @@
 
 import unittest
 
-from waxwinghold._decisions.answer_origin import has_joined_head
+from waxwinghold._decisions.answer_origin import (
+    AnswerOrigin,
+    answer_origin,
+    has_joined_head,
+)
 
 SOUND = (
     b"",
@@ -30,3 +34,37 @@
 
     def test_the_fields_of_sound_targets_are_not_taken_for_joined_ones(self):
         self.assertFalse(has_joined_head(SOUND))
+
+
+class OriginTests(unittest.TestCase):
+    """An answer that named no request was taken for the answer to the last one."""
+
+    def assert_origin(self, expected, **arguments):
+        self.assertIs(answer_origin(**arguments), expected)
+
+    def test_an_answer_without_an_id_belongs_to_the_only_request(self):
+        for request_id in ("r-1", ""):
+            for count, expected in (
+                (1, AnswerOrigin.OWN),
+                (2, AnswerOrigin.UNKNOWN),
+                (9, AnswerOrigin.UNKNOWN),
+            ):
+                self.assert_origin(
+                    expected, answer_id="", request_id=request_id, requests_count=count
+                )
+
+    def test_an_answer_with_an_id_belongs_to_that_request(self):
+        for count in (1, 2):
+            self.assert_origin(
+                AnswerOrigin.OWN,
+                answer_id="r-1",
+                request_id="r-1",
+                requests_count=count,
+            )
+            for request_id in ("r-2", ""):
+                self.assert_origin(
+                    AnswerOrigin.EARLIER,
+                    answer_id="r-1",
+                    request_id=request_id,
+                    requests_count=count,
+                )
--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -74,6 +74,52 @@
             )
 
 
+class UnnamedAnswersTests(LoopCase):
+    """An earlier answer without an id was taken for the answer to the next request."""
+
+    async def outcomes(self, path, *, after, names_requests=True, **headers):
+        """Return status and body of two answers, the second behind an unnamed one."""
+        async with GatewayFixture(behaviours=["after_stray"]).open() as fixture:
+            (worker,) = fixture.workers
+            worker.stray_bytes = answer_bytes(200, [], EARLIER_BODY)
+            worker.after_stray = after
+            worker.names_requests = names_requests
+            outcomes = []
+            for number in range(2):
+                status, _, body = await fixture.call(
+                    path, request_id=f"r-{number}", Deadline_Ms="800", **headers
+                )
+                outcomes.append((status, body))
+            self.assertEqual(outcomes[0][0], 200)
+            return outcomes
+
+    async def test_an_earlier_answer_without_an_id_is_not_passed_on(self):
+        for path, after in (("/safe/a", "whole"), ("/stream/a", "stream")):
+            with self.subTest(path):
+                _, (status, _) = await self.outcomes(path, after=after)
+                self.assertIn(status, (502, 504))
+
+    async def test_a_request_without_an_id_gets_no_earlier_answer(self):
+        for names_requests in (True, False):
+            for path, after in (("/safe/a", "whole"), ("/stream/a", "stream")):
+                with self.subTest(path, names_requests=names_requests):
+                    first, second = await self.outcomes(
+                        path,
+                        after=after,
+                        names_requests=names_requests,
+                        Attempt_Id=None,
+                    )
+                    self.assertEqual(second, first)
+
+    async def test_a_target_that_names_no_request_is_served(self):
+        for path, after in (("/safe/a", "whole"), ("/stream/a", "stream")):
+            with self.subTest(path):
+                first, second = await self.outcomes(
+                    path, after=after, names_requests=False
+                )
+                self.assertEqual(second, first)
+
+
 class AnswerDoubtsTests(LoopCase):
     """The logs could not tell a joined head from an answer without an id."""
 
