Refuse a body that was filled up with another answer of its connection

A body or event that holds the head of an answer to one of the last four requests of its connection is now malformed. Only the ids of these requests count, so a body may quote any other answer.

What remains: a rest of a body that is shorter than the head of the copy, up to its id, cannot be told from the body's own bytes.

--- a/src/waxwinghold/_decisions/answer_origin.py
+++ b/src/waxwinghold/_decisions/answer_origin.py
@@ -10,6 +10,14 @@
 
 # Sound targets write one only where an answer begins.
 STATUS_LINE_PATTERN = re.compile(rb"HTTP/\d\.\d \d{3}")
+# A status line and the whole fields behind it. Without bounds the search would take
+# time that grows with the square of a body's length.
+HEAD_PATTERN = re.compile(
+    STATUS_LINE_PATTERN.pattern
+    + rb"[^\r\n]{0,128}\r\n((?:[^\r\n:]{1,64}:[^\r\n]{0,512}\r\n){0,64})"
+)
+# Late copies arrive with one of the next answers.
+RECENT_IDS_COUNT = 4
 
 
 class AnswerOrigin(enum.Enum):
@@ -45,3 +53,23 @@
         texts: Its reason phrase and the values of its fields, as bytes.
     """
     return any(STATUS_LINE_PATTERN.search(text) for text in texts)
+
+
+def has_joined_body(body, *, id_field, recent_ids):
+    """Return whether the head of another answer of the connection stands in a body.
+
+    Bodies may quote answers, but hardly one to a request that was just sent on the
+    same connection.
+
+    Args:
+        body: The body or a part of it.
+        id_field: Name of the field that names the request of an answer, in lower case.
+        recent_ids: Ids of the last requests on the connection, as text.
+    """
+    for head in HEAD_PATTERN.finditer(body):
+        for line in head[1].splitlines():
+            name, _, value = line.partition(b":")
+            if name.lower() == id_field:
+                if value.strip().decode("latin-1") in recent_ids:
+                    return True
+    return False
--- a/src/waxwinghold/_gateway/codec.py
+++ b/src/waxwinghold/_gateway/codec.py
@@ -86,9 +86,13 @@
     """Decodes and encodes the HTTP messages of callers and targets.
 
     Attributes:
+        request_id_field: Name of the header of answers that names the request, in
+            lower case, as bytes.
         malformed_count: Headers of targets that were not valid and were ignored.
     """
 
+    request_id_field: bytes
+
     def __init__(self):
         self.malformed_count = 0
 
--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -14,7 +14,7 @@
 import httptools
 import logbook
 
-from .._decisions.answer_origin import has_joined_head
+from .._decisions.answer_origin import RECENT_IDS_COUNT, has_joined_head
 from .answer_doubts import Doubt, answer_doubts
 from .answer_sizes import (
     BODY_LIMIT_BYTES,
@@ -81,12 +81,15 @@
         idle_limit_ms: Time for which the target keeps the connection open while
             idle, in milliseconds, or ``None`` if it did not announce one.
         requests_count: Number of requests that were sent on it.
+        recent_ids: Ids of the last requests that were sent on it, as far as they have
+            any.
     """
 
     def __init__(self):
         self.idle_since_ms = 0.0
         self.idle_limit_ms = None
         self.requests_count = 0
+        self.recent_ids = deque(maxlen=RECENT_IDS_COUNT)
         self._parser = httptools.HttpResponseParser(self)
         self._transport = None
         self._pieces = deque()
@@ -127,11 +130,12 @@
             and not self._transport.is_closing()
         )
 
-    def send(self, data, *, body_limit_bytes=BODY_LIMIT_BYTES):
+    def send(self, data, *, request_id="", body_limit_bytes=BODY_LIMIT_BYTES):
         """Send a whole request.
 
         Args:
             data: The request, as bytes.
+            request_id: Its id, which the answer repeats; empty if it has none.
             body_limit_bytes: Largest body of an answer, with its framing and
                 ``PIECE_BYTES`` for each piece.
         """
@@ -140,6 +144,8 @@
         self._skips = False
         self._skipped_count = 0
         self.requests_count += 1
+        if request_id:
+            self.recent_ids.append(request_id)
         self._transport.write(data)
 
     def lift_body_limit(self):
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -5,7 +5,11 @@
 
 import logbook
 
-from .._decisions.answer_origin import AnswerOrigin, answer_origin
+from .._decisions.answer_origin import (
+    AnswerOrigin,
+    answer_origin,
+    has_joined_body,
+)
 from .._decisions.crash_suspects import RequestContent, shows_run
 from .._decisions.sends import SHORTEST_SEND_MS
 from .answer_doubts import Doubt, answer_doubts
@@ -175,7 +179,9 @@
             self._gateway.check_sendable(self._admitted)
             self.may_have_arrived = True
             self._sent_ms = self._progressed_ms = self._clock.now_ms()
-            connection.send(self._request_bytes(target))
+            connection.send(
+                self._request_bytes(target), request_id=self._call.request_id
+            )
             self._on_sent()
             head, metadata = await self._head(target, connection)
             self.has_head = True
@@ -250,11 +256,28 @@
         if metadata.executed:
             raise MalformedAnswerError("the answer names no request")
 
+    def _check_body(self, connection, data):
+        """Check that a body, or an event of it, holds no part of another answer.
+
+        Raises:
+            MalformedAnswerError: It does.
+        """
+        if has_joined_body(
+            data,
+            id_field=self._gateway.codec.request_id_field,
+            recent_ids=connection.recent_ids,
+        ):
+            answer_doubts.record(
+                Doubt.JOINED, connection, request=self._call.request_id
+            )
+            raise MalformedAnswerError("another answer begins inside the body")
+
     async def _pass_whole(self, target, connection, head):
         parts = []
         while data := await self._piece(connection, connection.body):
             parts.append(data)
         body = b"".join(parts)
+        self._check_body(connection, body)
         self._record_first_answer(target, has_run=shows_run(head.status))
         if head.status >= FIRST_ERROR_STATUS:
             target.record_error_answer()
@@ -284,6 +307,8 @@
                 events = splitter.feed(data)
             except EventTooLongError as error:
                 raise MalformedAnswerError(str(error)) from error
+            for event, _ in events:
+                self._check_body(connection, event)
             await self._pass_events(head, events)
             if events:
                 # Time spent on a caller that reads slowly is no silence of the target.
--- a/src/waxwinghold/platform/codec.py
+++ b/src/waxwinghold/platform/codec.py
@@ -36,6 +36,8 @@
 class PlatformCodec(MessageCodec):
     """Translates messages from and to the platform's header names."""
 
+    request_id_field = REQUEST_ID
+
     def read_request(self, *, method, raw_path, raw_headers, body, arrived_ms):
         values = {name.lower(): value for name, value in raw_headers}
         dropped = HOP_HEADERS | OWN_HEADERS | _named_by_connection(values)
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -34,6 +34,8 @@
         stray_bytes: Bytes sent before each answer but the first of a connection, for
             the behaviour ``after_stray``.
         after_stray: Behaviour that selects the answer behind them.
+        filling: Bytes sent in place of the rest of an answer, for the behaviours
+            ``filled_up`` and ``stream_filled_up``.
         names_requests: Whether answers have the ``Attempt-Id`` of their request.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
         limit_text: Value of ``Server-Limit`` in answers; empty for none.
@@ -74,6 +76,7 @@
         self.endless_bytes = 0
         self.stray_bytes = b""
         self.after_stray = "failing"
+        self.filling = b""
         self.names_requests = True
         self._kept_writers = weakref.WeakSet()  # Of connections with an answer.
         self.name = name
@@ -268,6 +271,26 @@
             await asyncio.sleep(self.event_ms / MS_PER_SECOND)
         return await getattr(self, f"_answer_{self.after_stray}")(request, writer)
 
+    async def _answer_filled_up(self, request, writer):
+        """Break the answer off in the middle of its body and send ``filling``."""
+        data = answer_bytes(200, self.record_run(request), self.body)
+        writer.write(data[: -len(self.body) // 2])
+        return await self._fill_up(writer)
+
+    async def _answer_stream_filled_up(self, request, writer):
+        """Break a stream without a length off in an event and send ``filling``."""
+        await self._stream(
+            request, writer, stop_after=2, cut=True, frame=bytes, end=False
+        )
+        return await self._fill_up(writer)
+
+    async def _fill_up(self, writer):
+        await writer.drain()
+        await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+        writer.write(self.filling)
+        await writer.drain()
+        return True
+
     async def _answer_shed_twice(self, request, writer):
         """Reject the request, and send the same rejection once more."""
         rejection = answer_bytes(503, [("Not-Executed", "1")], b"full")
--- a/tests/test_decisions_answer_origin.py
+++ b/tests/test_decisions_answer_origin.py
@@ -5,6 +5,7 @@
 from waxwinghold._decisions.answer_origin import (
     AnswerOrigin,
     answer_origin,
+    has_joined_body,
     has_joined_head,
 )
 
@@ -68,3 +69,30 @@
                     request_id=request_id,
                     requests_count=count,
                 )
+
+
+class JoinedBodiesTests(unittest.TestCase):
+    """The rest of a body that was broken off was taken from the next answer."""
+
+    def is_joined(self, body):
+        return has_joined_body(body, id_field=b"attempt-id", recent_ids=["r-1", "r-2"])
+
+    def test_the_head_of_an_answer_to_a_recent_request_shows(self):
+        for name in (b"Attempt-Id", b"attempt-id"):
+            for value in (b"r-1", b" r-2 "):
+                for between in (b"", b"Server-Seal: s:1\r\nDate: x\r\n"):
+                    head = b"HTTP/1.1 200 OK\r\n%b%b:%b\r\n" % (between, name, value)
+                    self.assertTrue(self.is_joined(head), head)
+                    self.assertTrue(self.is_joined(b"data: a" + head + b"rest"), head)
+
+    def test_bodies_that_quote_other_answers_are_sound(self):
+        for body in (
+            b"",
+            b"HTTP/1.1 200 OK\r\nAttempt-Id: r-0\r\n",
+            b"HTTP/1.1 200 OK\r\n\r\nAttempt-Id: r-1\r\n",
+            b"GET / HTTP/1.1\r\nAttempt-Id: r-1\r\n",
+            b"HTTP/1.1 200 OK\\r\\nAttempt-Id: r-1\\r\\n",
+            b"HTTP/1.1 200 " * 50_000,
+            b"HTTP/1.1 200 OK\r\n" + b"a:" * 500_000,
+        ):
+            self.assertFalse(self.is_joined(body), body[:60])
--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -1,13 +1,14 @@
 """Tests of targets that begin an earlier answer again before the one that is due."""
 
 import asyncio
+import contextlib
 
 import logbook
 
 from waxwinghold._gateway.answer_doubts import Doubt
 from waxwinghold_standins._raw_http import answer_bytes
 
-from .support.gateway import GatewayFixture
+from .support.gateway import HOST, KEY, GatewayFixture
 from .support.loop_case import LoopCase
 
 EARLIER_BODY = b"the answer to an earlier request"
@@ -19,6 +20,18 @@
 STATUSES = {"whole": 200, "failing": 500}
 
 
+async def read_until_end(reader):
+    """Return what arrives until the connection ends or is reset."""
+    parts = []
+    try:
+        async with asyncio.timeout(5.0):
+            while data := await reader.read(65536):
+                parts.append(data)
+    except ConnectionError:
+        pass
+    return b"".join(parts)
+
+
 class JoinedAnswersTests(LoopCase):
     """The head of a broken-off copy was joined with the answer that followed it.
 
@@ -120,6 +133,70 @@
                 self.assertEqual(second, first)
 
 
+class JoinedBodiesTests(LoopCase):
+    """A body that was broken off was filled up with the bytes of another answer."""
+
+    @contextlib.asynccontextmanager
+    async def kept_connection(self, path, *, whole, broken_off, stray_id):
+        """Run a gateway whose target fills up the next answer on its connection."""
+        async with GatewayFixture(behaviours=[whole]).open() as fixture:
+            (worker,) = fixture.workers
+            worker.body = b"x" * 2000
+            worker.filling = answer_bytes(
+                200, [("Attempt-Id", stray_id), ("Server-Seal", "s")], b"y" * 4000
+            )
+            status, _, _ = await fixture.call(path, request_id="earlier")
+            self.assertEqual(status, 200)
+            worker.behaviour = broken_off
+            yield fixture
+            self.assertEqual(worker.connections_count, 1)
+
+    async def test_a_body_is_not_filled_up_with_another_answer(self):
+        for stray_id in ("earlier", "due"):
+            with self.subTest(stray_id):
+                async with self.kept_connection(
+                    "/safe/a", whole="whole", broken_off="filled_up", stray_id=stray_id
+                ) as fixture:
+                    status, _, _ = await fixture.call(
+                        "/safe/a", request_id="due", Deadline_Ms="800"
+                    )
+                    self.assertIn(status, (502, 504))
+
+    async def test_a_stream_is_not_filled_up_with_another_answer(self):
+        request = (
+            f"GET /stream/a HTTP/1.1\r\nHost: {HOST}\r\nCredential: {KEY}\r\n"
+            "Attempt-Id: due\r\nDeadline-Ms: 800\r\n\r\n"
+        )
+        for stray_id in ("earlier", "due"):
+            with self.subTest(stray_id):
+                async with self.kept_connection(
+                    "/stream/a",
+                    whole="stream",
+                    broken_off="stream_filled_up",
+                    stray_id=stray_id,
+                ) as fixture:
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", fixture.port
+                    )
+                    writer.write(request.encode())
+                    _, _, received = (await read_until_end(reader)).partition(
+                        b"\r\n\r\n"
+                    )
+                    writer.close()
+                    self.assertIn(b"data: piece 2", received)
+                    self.assertNotIn(b"Server-Seal", received)
+
+    async def test_a_body_that_quotes_answers_is_passed_on(self):
+        quoted = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: r-0\r\n\r\nquoted"
+        async with GatewayFixture(behaviours=["whole"]).open() as fixture:
+            (worker,) = fixture.workers
+            worker.body = quoted
+            for number in range(1, 4):
+                outcome = await fixture.call("/safe/a", request_id=f"r-{number}")
+                self.assertEqual((outcome[0], outcome[2]), (200, quoted))
+            self.assertEqual(worker.connections_count, 1)
+
+
 class AnswerDoubtsTests(LoopCase):
     """The logs could not tell a joined head from an answer without an id."""
 
