Keep no connection on which another answer has begun

A caller got a 504 though its target was sound by then: an earlier answer had the beginning of another one behind it, in the same piece. A head that is not whole left neither a part to read nor a failure, so the connection was kept; the next request's answer was joined with that beginning and refused.

A connection whose parser is inside a message is not kept, and the log names the extra bytes. Joined heads were refused already: no caller got a wrong status. Ruled out: bytes that arrive after the end was read, which end the connection.

UnframedAnswersTests guards against a false doubt where an answer ends with its connection.

--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -102,6 +102,7 @@
         self._is_interim = False
         # Received since the last head, piece of a body or end of an answer.
         self._framing_bytes = 0
+        self._in_message = False  # From the first byte of any head on.
         self._in_body = False
         self._body_bytes = 0
         self._body_limit_bytes = BODY_LIMIT_BYTES
@@ -126,6 +127,7 @@
             and self._answered
             and self._failure is None
             and not self._pieces
+            and not self._in_message
             and self._transport.get_write_buffer_size() == 0
             and not self._transport.is_closing()
         )
@@ -204,7 +206,8 @@
 
     def _has_extra_bytes(self):
         """Return whether bytes have arrived behind the answer that has ended."""
-        return bool(self._pieces) or isinstance(self._failure, MalformedAnswerError)
+        has_begun = bool(self._pieces) or self._in_message
+        return has_begun or isinstance(self._failure, MalformedAnswerError)
 
     async def whole_body(self):
         """Return the whole body of the current answer."""
@@ -302,6 +305,7 @@
 
     def eof_received(self):
         if self._until_close and not self._answered:
+            self._in_message = False
             self._put(_END)
             self._keep_alive = False
         return False
@@ -312,6 +316,7 @@
         self._fail(ConnectionLostError(f"the connection ended{reason}"))
 
     def on_message_begin(self):
+        self._in_message = True
         self._headers = []
         self._reason = b""
         if not self._is_interim:
@@ -354,6 +359,7 @@
         self._put(data)
 
     def on_message_complete(self):
+        self._in_message = False
         if self._is_interim:
             return
         self._check_fields()
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -35,7 +35,7 @@
             the behaviour ``after_stray``.
         after_stray: Behaviour that selects the answer behind them.
         filling: Bytes sent in place of the rest of an answer, for the behaviours
-            ``filled_up`` and ``stream_filled_up``.
+            ``filled_up`` and ``stream_filled_up``, or behind one, for ``trailed``.
         names_requests: Whether answers have the ``Attempt-Id`` of their request.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
         limit_text: Value of ``Server-Limit`` in answers; empty for none.
@@ -271,6 +271,12 @@
             await asyncio.sleep(self.event_ms / MS_PER_SECOND)
         return await getattr(self, f"_answer_{self.after_stray}")(request, writer)
 
+    async def _answer_trailed(self, request, writer):
+        """Send ``filling`` behind the answer, in one piece with it."""
+        data = answer_bytes(200, self.record_run(request), self.body)
+        writer.write(data + self.filling)
+        return True
+
     async def _answer_filled_up(self, request, writer):
         """Break the answer off in the middle of its body and send ``filling``."""
         data = answer_bytes(200, self.record_run(request), self.body)
--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -87,6 +87,18 @@
             )
 
 
+class UnframedAnswersTests(LoopCase):
+    """The end of an answer without a length was taken for the beginning of another."""
+
+    async def test_an_answer_that_ends_with_its_connection_is_not_in_doubt(self):
+        async with GatewayFixture(behaviours=["unframed"]).open() as fixture:
+            (worker,) = fixture.workers
+            with logbook.TestHandler().applicationbound() as logs:
+                status, _, body = await fixture.call("/safe/a", request_id="r-1")
+        self.assertEqual((status, body), (200, worker.body))
+        self.assertNotIn("answer in doubt", [line.message for line in logs.records])
+
+
 class UnnamedAnswersTests(LoopCase):
     """An earlier answer without an id was taken for the answer to the next request."""
 
@@ -197,6 +209,29 @@
             self.assertEqual(worker.connections_count, 1)
 
 
+class TrailingBytesTests(LoopCase):
+    """A connection was kept on which the beginning of another answer had arrived.
+
+    The next answer was joined with it and lost.
+    """
+
+    async def test_a_connection_with_the_beginning_of_an_answer_is_not_used(self):
+        extra = answer_bytes(200, EARLIER_HEADERS, EARLIER_BODY)
+        head_bytes = len(extra) - len(EARLIER_BODY)
+        for end in (1, 9, 14, 60, head_bytes - 1, head_bytes, len(extra)):
+            with self.subTest(extra[:end][-12:]):
+                async with GatewayFixture(behaviours=["trailed"]).open() as fixture:
+                    (worker,) = fixture.workers
+                    worker.filling = extra[:end]
+                    status, _, body = await fixture.call("/safe/a", request_id="r-1")
+                    self.assertEqual((status, body), (200, worker.body))
+                    worker.behaviour = "whole"
+                    status, _, body = await fixture.call("/safe/a", request_id="r-2")
+                    self.assertEqual((status, body), (200, worker.body))
+                    self.assertEqual(worker.runs, ["r-1", "r-2"])
+                    self.assertEqual(worker.connections_count, 2)
+
+
 class AnswerDoubtsTests(LoopCase):
     """The logs could not tell a joined head from an answer without an id."""
 
