Send no id a second time on a connection that has just carried it

The gateway itself never sends an id twice on one connection, as the connection of a failed or rejected send is reset; the platform's callers use each id once.

Ruled out: counting the answers of each id, as a target may send the copy before or after the answer that is due.

RepeatedIdsTests failed before (200 in place of 500) and passes now.

--- a/src/waxwinghold/_gateway/connection_pool.py
+++ b/src/waxwinghold/_gateway/connection_pool.py
@@ -24,7 +24,7 @@
         self._address = address
         self._idle = []
 
-    async def acquire(self, *, fresh, limit_ms):
+    async def acquire(self, *, fresh, limit_ms, request_id=""):
         """Return a connection that no other request uses.
 
         Args:
@@ -32,13 +32,16 @@
                 idle connection unnoticed, and then it is unknown whether a request
                 sent on it has run.
             limit_ms: Longest time in milliseconds to open a connection.
+            request_id: Id of the request; empty if it has none. A connection that has
+                just carried it may bring a late copy of the answer to that request.
 
         Raises:
             ConnectError: No connection could be opened.
         """
         while self._idle and not fresh:
             connection = self._idle.pop()
-            if connection.reusable and not self._expired(connection):
+            is_repeated = request_id in connection.recent_ids
+            if connection.reusable and not (is_repeated or self._expired(connection)):
                 return connection
             connection.abort()
         return await open_connection(
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -170,6 +170,7 @@
             # The answer to a request without an id cannot be told from earlier ones.
             fresh=not route.repeatable or not self._call.request_id,
             limit_ms=self._left_ms(),
+            request_id=self._call.request_id,
         )
         if not target.accepts_requests(now_ms=self._clock.now_ms()):
             target.connections.release(connection)
--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -145,6 +145,25 @@
                 self.assertEqual(second, first)
 
 
+class RepeatedIdsTests(LoopCase):
+    """A late copy was taken for the answer to a later request with the same id."""
+
+    async def test_a_copy_is_not_the_answer_to_a_request_with_the_same_id(self):
+        async with GatewayFixture(behaviours=["whole"]).open() as fixture:
+            (worker,) = fixture.workers
+            for request_id in ("r-1", "r-2"):
+                await fixture.call("/safe/a", request_id=request_id)
+            worker.stray_bytes = answer_bytes(
+                200, [("Attempt-Id", "r-1"), ("Server-Seal", "s")], EARLIER_BODY
+            )
+            worker.behaviour = "after_stray"
+            status, headers, _ = await fixture.call(
+                "/safe/a", request_id="r-1", Deadline_Ms="800"
+            )
+        self.assertEqual(status, 500)
+        self.assertEqual(headers.get("Server-Seal"), f"seal.{worker.name}")
+
+
 class JoinedBodiesTests(LoopCase):
     """A body that was broken off was filled up with the bytes of another answer."""
 
