Refuse a body whose last bytes begin another answer that ends behind it

The rest of the body was shorter than the head up to its id, so the search in the body did not find it. The same held for other answers of the store and of workers.

Such a head goes on in the bytes behind the body. Where a body of announced length ends, a head that begins in it and ends behind it makes it malformed. Bodies in chunks need no check: what fills up a chunk has no valid end of the chunk.

Ruled out: refusing every answer with bytes behind it, as such an answer is whole.

What remains: bytes of the copy that arrive only after the body was read.

--- a/src/waxwinghold/_decisions/answer_origin.py
+++ b/src/waxwinghold/_decisions/answer_origin.py
@@ -16,6 +16,8 @@
     STATUS_LINE_PATTERN.pattern
     + rb"[^\r\n]{0,128}\r\n((?:[^\r\n:]{1,64}:[^\r\n]{0,512}\r\n){0,64})"
 )
+# On each side of the end of a body; heads of targets have some hundred bytes.
+END_SEARCH_BYTES = 4096
 # Late copies arrive with one of the next answers.
 RECENT_IDS_COUNT = 4
 
@@ -73,3 +75,20 @@
                 if value.strip().decode("latin-1") in recent_ids:
                     return True
     return False
+
+
+def has_joined_end(body, following):
+    """Return whether the head of another answer begins in a body and ends behind it.
+
+    The last bytes of such a body are those with which the other answer began. An
+    answer that begins where the body ends leaves the body whole.
+
+    Args:
+        body: The last part of a body whose length was announced.
+        following: What arrived behind the body.
+    """
+    if not following or STATUS_LINE_PATTERN.match(following):
+        return False
+    end = body[-END_SEARCH_BYTES:]
+    heads = HEAD_PATTERN.finditer(end + following[:END_SEARCH_BYTES])
+    return any(head.start() < len(end) < head.end() for head in heads)
--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -14,7 +14,7 @@
 import httptools
 import logbook
 
-from .._decisions.answer_origin import RECENT_IDS_COUNT, has_joined_head
+from .._decisions.answer_origin import RECENT_IDS_COUNT, has_joined_end, has_joined_head
 from .answer_doubts import Doubt, answer_doubts
 from .answer_sizes import (
     BODY_LIMIT_BYTES,
@@ -104,6 +104,10 @@
         self._framing_bytes = 0
         self._in_message = False  # From the first byte of any head on.
         self._in_body = False
+        # While bytes are parsed: all of them, and the last part of a body in them.
+        self._received = b""
+        self._last_part = b""
+        self._has_length = False
         self._body_bytes = 0
         self._body_limit_bytes = BODY_LIMIT_BYTES
         self._skips = False
@@ -261,6 +265,7 @@
             return
         was_in_body = self._in_body
         self._framing_bytes += len(data)
+        self._received, self._last_part = data, b""
         try:
             self._parser.feed_data(data)
             self._check_sizes(len(data) if was_in_body else 0)
@@ -278,6 +283,8 @@
         except httptools.HttpParserUpgrade:
             self._fail(MalformedAnswerError("the target changed the protocol"))
             self.abort()
+        finally:
+            self._received = self._last_part = b""
 
     def _check_sizes(self, body_bytes):
         """Check what was received against the limits that the parser does not see.
@@ -344,6 +351,7 @@
             name in (b"content-length", b"transfer-encoding")
             for name, _ in head.headers
         )
+        self._has_length = head.get(b"content-length") is not None
         self._until_close = not framed and status not in BODILESS_STATUSES
         self._keep_alive = self._keep_alive and not self._until_close
         self._keep_alive = self._keep_alive and self._parser.should_keep_alive()
@@ -356,6 +364,7 @@
 
     def on_body(self, data):
         self._body_bytes += PIECE_BYTES
+        self._last_part = data
         self._put(data)
 
     def on_message_complete(self):
@@ -363,6 +372,7 @@
         if self._is_interim:
             return
         self._check_fields()
+        self._check_end()
         self._in_body = False
         self._put(_END)
 
@@ -373,10 +383,25 @@
             MalformedAnswerError: It does.
         """
         if has_joined_head((self._reason, *(value for _, value in self._headers))):
-            answer_doubts.record(
-                Doubt.JOINED, self, status=self._parser.get_status_code()
-            )
-            raise MalformedAnswerError("another answer begins inside the answer")
+            raise self._joined_error()
+
+    def _check_end(self):
+        """Check that the body that ends was not filled up with another answer.
+
+        Raises:
+            MalformedAnswerError: It was.
+        """
+        part = self._last_part
+        if not (self._has_length and part) or self._received.endswith(part):
+            return
+        # A body that has a length is one part of what was received.
+        end = self._received.rfind(part) + len(part)
+        if has_joined_end(part, self._received[end:]):
+            raise self._joined_error()
+
+    def _joined_error(self):
+        answer_doubts.record(Doubt.JOINED, self, status=self._parser.get_status_code())
+        return MalformedAnswerError("another answer begins inside the answer")
 
     def _put(self, piece):
         self._framing_bytes = 0
--- a/tests/test_decisions_answer_origin.py
+++ b/tests/test_decisions_answer_origin.py
@@ -6,6 +6,7 @@
     AnswerOrigin,
     answer_origin,
     has_joined_body,
+    has_joined_end,
     has_joined_head,
 )
 
@@ -96,3 +97,21 @@
             b"HTTP/1.1 200 OK\r\n" + b"a:" * 500_000,
         ):
             self.assertFalse(self.is_joined(body), body[:60])
+
+
+class JoinedEndsTests(unittest.TestCase):
+    """The rest of a body was too short for the whole head of the next answer."""
+
+    head = b"HTTP/1.1 200 OK\r\nServer-Seal: s\r\nAttempt-Id: r-1\r\n"
+
+    def test_a_head_that_begins_in_the_body_and_ends_behind_it_shows(self):
+        for size in range(1, len(self.head)):
+            for body in (b"", b"x", b"x\r\n" * 5000):
+                joined = body + self.head[:size]
+                following = self.head[size:] + b"\r\nbody"
+                self.assertTrue(has_joined_end(joined, following), joined[-60:])
+
+    def test_bytes_behind_a_whole_body_leave_it_whole(self):
+        for body in (b"x", b"H", b"HTTP/1.1 200", self.head, b"HTTP/1.1 200 " * 999):
+            for following in (b"", self.head, b"\0\0"):
+                self.assertFalse(has_joined_end(body, following), body[-60:])
--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -280,3 +280,37 @@
             with self.subTest(expected):
                 reasons = await self.reasons(stray_bytes, after_stray)
                 self.assertIn(expected, reasons)
+
+
+class FilledEndsTests(LoopCase):
+    """The last bytes of a body were those with which another answer began."""
+
+    async def outcome(self, *, missing_bytes, filling):
+        """Return an answer whose last bytes, and those behind it, are ``filling``."""
+        async with GatewayFixture(behaviours=["whole"]).open() as fixture:
+            (worker,) = fixture.workers
+            await fixture.call("/safe/a", request_id="earlier")
+            worker.behaviour, worker.filling = "filled_up", filling
+            worker.body = b"x" * (2 * missing_bytes)  # It breaks off in the middle.
+            return await fixture.call("/safe/a", request_id="due", Deadline_Ms="800")
+
+    async def test_a_body_does_not_end_with_the_beginning_of_another_answer(self):
+        headers = [("Attempt-Id", "earlier"), ("Server-Seal", "s")]
+        for status in (200, 500):
+            filling = answer_bytes(status, headers, EARLIER_BODY)
+            for missing_bytes in (1, 9, 16, 22, 40):
+                with self.subTest(filling[:missing_bytes]):
+                    status, _, _ = await self.outcome(
+                        missing_bytes=missing_bytes, filling=filling
+                    )
+                    self.assertIn(status, (502, 504))
+
+    async def test_an_answer_behind_a_whole_body_does_not_cost_it(self):
+        for body in (b"the body", b"it ends with HTTP/1.1 200", b"HTTP/1.1 200 OK\r\n"):
+            for filling in (answer_bytes(200, EARLIER_HEADERS, EARLIER_BODY), b"\0\0"):
+                with self.subTest(body, filling=filling):
+                    async with GatewayFixture(behaviours=["trailed"]).open() as fixture:
+                        (worker,) = fixture.workers
+                        worker.body, worker.filling = body, filling
+                        outcome = await fixture.call("/safe/a", request_id="due")
+                        self.assertEqual((outcome[0], outcome[2]), (200, body))
