Take no reset for the end of a call's answer without a length

The agent's HTTP client ends such a body with its connection, however that ends.

A body without a length is now complete only if its connection ended without an error. Answers with a length or in chunks, and streams, which count their events, were checked already. Ruled out: refusing all answers without a length, which the platform allows.

--- a/src/waxwinghold/_agent/target.py
+++ b/src/waxwinghold/_agent/target.py
@@ -25,6 +25,7 @@
 ERROR_TEXT_LIMIT_BYTES = 200
 STREAM_LIMIT_BYTES = 16 * 1024 * 1024  # All events are kept for callers that resume.
 CONNECTIONS_LIMIT_COUNT = 1024
+BODILESS_STATUSES = frozenset({204, 304})
 RESUME_INTERVAL_MS = 50
 
 
@@ -181,7 +182,9 @@
                 url, data=submit.body, headers=headers
             ) as response:
                 _raise_if_paused(response)
+                closed = _closed(response)
                 body = await read_body(response)
+                await _check_end(response, closed)
                 return PlainAnswer(
                     status=response.status,
                     content_type=response.headers.get("Content-Type", ""),
@@ -403,6 +406,37 @@
         raise TargetPausedError(retry_after_ms=math.ceil(pause_ms))
 
 
+def _closed(response):
+    """Return the future of the end of a connection; ``None`` if it has ended."""
+    connection = response.connection
+    return connection.protocol.closed if connection else None
+
+
+async def _check_end(response, closed):
+    """Check that an answer without a length was not cut by a reset of its connection.
+
+    The client takes the reset for the end of such an answer.
+
+    Args:
+        response: The response, whose body was read.
+        closed: The result of ``_closed`` before the body was read.
+
+    Raises:
+        aiohttp.ClientConnectionError: The connection was reset, or it is unknown.
+    """
+    has_end = "Content-Length" in response.headers or _is_chunked(response)
+    if has_end or response.status in BODILESS_STATUSES:
+        return
+    if closed is None:
+        raise aiohttp.ClientConnectionError("the end of the answer was not seen")
+    await closed
+
+
+def _is_chunked(response):
+    coding = response.headers.get("Transfer-Encoding", "")
+    return coding.strip().lower().endswith("chunked")
+
+
 def _session(*, force_close, trace_configs):
     connector = aiohttp.TCPConnector(
         limit=CONNECTIONS_LIMIT_COUNT, force_close=force_close
--- a/tests/test_agent_target.py
+++ b/tests/test_agent_target.py
@@ -104,6 +104,34 @@
         await reading.aclose()
 
 
+class CutCallTests(unittest.IsolatedAsyncioTestCase):
+    """The reset of a connection was taken for the end of an answer without a length."""
+
+    async def asyncSetUp(self):
+        self.target = FleetWorker(name="w0")
+        await self.target.start()
+        self.addAsyncCleanup(self.target.stop)
+        url = "http://{}:{}".format(*self.target.address)
+        self.client = TargetClient(url=url, silence_ms=5000)
+        self.addAsyncCleanup(self.client.close)
+
+    async def test_an_answer_that_is_cut_by_a_reset_is_not_complete(self):
+        for behaviour in ("unframed_reset", "truncated"):
+            with self.subTest(behaviour):
+                self.target.behaviour = behaviour
+                with self.assertRaises((TargetCrashedError, TargetFailedError)):
+                    async with asyncio.timeout(TIMEOUT_S):
+                        await self.client.call(submit())
+
+    async def test_whole_answers_are_complete(self):
+        for behaviour in ("whole", "unframed", "interim"):
+            with self.subTest(behaviour):
+                self.target.behaviour = behaviour
+                async with asyncio.timeout(TIMEOUT_S):
+                    answer = await self.client.call(submit())
+                self.assertEqual((answer.status, answer.body), (200, self.target.body))
+
+
 class EndlessTargetTests(unittest.IsolatedAsyncioTestCase):
     """A target that sends bytes without end instead of each of its answers."""
 
