Believe no joined head of an engine's answer to a call or an order

The target began a success, broke it off in its head and sent the answer that was due on the same connection. The client took the status of the first with the body of the second. New connections, which calls and orders get, do not help: both answers are on one.

Calls, orders and queries of an engine's state now refuse such heads by the rule of the gateway. Health checks and loads read no status; streams name and count their events. The fake answers of the fuzz tests get the two fields that are read.

CutCallTests: the 2 cases of the call and the order failed before (no error); all pass now.

--- a/src/waxwinghold/_agent/orders.py
+++ b/src/waxwinghold/_agent/orders.py
@@ -3,7 +3,7 @@
 import aiohttp
 
 from .._errors import WaxwingError
-from .._http_bodies import read_json
+from .._http_bodies import check_head, read_json
 
 ORDER_LIMIT_MS = 2000
 OK = 200
@@ -66,6 +66,7 @@
         """
         try:
             async with self._session.get(self._url + path) as response:
+                check_head(response)
                 response.raise_for_status()
                 document = await read_json(response)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
@@ -102,6 +103,7 @@
         body = {"fence": fence, "order": name, **fields}
         try:
             async with self._session.post(f"{self._url}/orders", json=body) as response:
+                check_head(response)
                 document = await read_json(response)
         except (aiohttp.ClientError, TimeoutError, ValueError) as error:
             raise EngineUnreachableError(path="/orders", cause=error) from error
--- a/src/waxwinghold/_agent/target.py
+++ b/src/waxwinghold/_agent/target.py
@@ -16,7 +16,7 @@
     TargetRefusedError,
 )
 from .._gateway.notices import Count
-from .._http_bodies import LongBodyError, close_long, read_body, read_json
+from .._http_bodies import LongBodyError, check_head, close_long, read_body, read_json
 from .announcements import requested_pause_ms
 from .events import EventParser
 
@@ -182,6 +182,7 @@
                 url, data=submit.body, headers=headers
             ) as response:
                 _raise_if_paused(response)
+                check_head(response)
                 closed = _closed(response)
                 body = await read_body(response)
                 await _check_end(response, closed)
--- a/src/waxwinghold/_http_bodies.py
+++ b/src/waxwinghold/_http_bodies.py
@@ -9,6 +9,7 @@
 import aiohttp
 import logbook
 
+from ._decisions.answer_origin import has_joined_head
 from ._gateway.answer_sizes import answer_sizes
 
 log = logbook.Logger("http_bodies")
@@ -48,6 +49,19 @@
         raise ValueError("JSON nested too deeply") from error
 
 
+def check_head(response):
+    """Check that a head that was broken off was not joined with that of another answer.
+
+    Raises:
+        aiohttp.ClientPayloadError: It was; the status may be that of either.
+    """
+    values = (value for _, value in response.raw_headers)
+    reason = (response.reason or "").encode("utf-8", "surrogateescape")
+    if has_joined_head((reason, *values)):
+        response.close()
+        raise aiohttp.ClientPayloadError("another answer begins inside the answer")
+
+
 def close_long(response, *, what, limit_bytes):
     """Close the connection of a too long answer and return the ``LongBodyError``."""
     response.close()
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -32,7 +32,7 @@
             ``endless_shed`` and ``endless_late``.
         endless_bytes: Bytes of endless answers sent so far.
         stray_bytes: Bytes sent before each answer but the first of a connection, for
-            the behaviour ``after_stray``.
+            the behaviour ``after_stray``, or before each one, for ``begun_twice``.
         after_stray: Behaviour that selects the answer behind them.
         filling: Bytes sent in place of the rest of an answer, for the behaviours
             ``filled_up`` and ``stream_filled_up``, or behind one, for ``trailed``.
@@ -40,6 +40,7 @@
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
         limit_text: Value of ``Server-Limit`` in answers; empty for none.
         body: Body of an answer that is not a stream.
+        failure: Body of an answer of the behaviours ``failing`` and ``begun_twice``.
         runs: ``Attempt-Id`` of each request that was run, in the order of arrival.
         requests: Every ``RawRequest`` that arrived.
         running_count: Number of slow requests that run now.
@@ -77,6 +78,7 @@
         self.stray_bytes = b""
         self.after_stray = "failing"
         self.filling = b""
+        self.failure = b"failed"
         self.names_requests = True
         self._kept_writers = weakref.WeakSet()  # Of connections with an answer.
         self.name = name
@@ -175,7 +177,7 @@
         return True
 
     async def _answer_failing(self, request, writer):
-        writer.write(answer_bytes(500, self.record_run(request), b"failed"))
+        writer.write(answer_bytes(500, self.record_run(request), self.failure))
         return True
 
     async def _answer_shed(self, request, writer):
@@ -277,6 +279,11 @@
         writer.write(data + self.filling)
         return True
 
+    async def _answer_begun_twice(self, request, writer):
+        """Begin a success with ``stray_bytes``, then answer with a failure."""
+        writer.write(self.stray_bytes)
+        return await self._answer_failing(request, writer)
+
     async def _answer_filled_up(self, request, writer):
         """Break the answer off in the middle of its body and send ``filling``."""
         data = answer_bytes(200, self.record_run(request), self.body)
--- a/tests/test_agent_target.py
+++ b/tests/test_agent_target.py
@@ -105,14 +105,18 @@
 
 
 class CutCallTests(unittest.IsolatedAsyncioTestCase):
-    """The reset of a connection was taken for the end of an answer without a length."""
+    """Parts of answers that were broken off were taken for whole answers.
+
+    The reset of a connection was the end of an answer without a length, and the head
+    of a failure a part of that of a success.
+    """
 
     async def asyncSetUp(self):
         self.target = FleetWorker(name="w0")
         await self.target.start()
         self.addAsyncCleanup(self.target.stop)
-        url = "http://{}:{}".format(*self.target.address)
-        self.client = TargetClient(url=url, silence_ms=5000)
+        self.url = "http://{}:{}".format(*self.target.address)
+        self.client = TargetClient(url=self.url, silence_ms=5000)
         self.addAsyncCleanup(self.client.close)
 
     async def test_an_answer_that_is_cut_by_a_reset_is_not_complete(self):
@@ -123,6 +127,24 @@
                     async with asyncio.timeout(TIMEOUT_S):
                         await self.client.call(submit())
 
+    async def test_a_failure_behind_a_broken_off_success_is_no_success(self):
+        self.target.behaviour = "begun_twice"
+        for stray_bytes in (b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r\nServer-Seal: s"):
+            with self.subTest(stray_bytes):
+                self.target.stray_bytes = stray_bytes
+                with self.assertRaises((TargetCrashedError, TargetFailedError)):
+                    await self.client.call(submit())
+
+    async def test_a_refusal_behind_a_broken_off_success_accepts_no_order(self):
+        self.target.behaviour = "begun_twice"
+        self.target.stray_bytes = b"HTTP/1.1 200 O"
+        self.target.failure = b'{"reason": "not loaded"}'
+        fencing = types.SimpleNamespace(next=lambda: 1, record_accepted=self.fail)
+        orders = OrderClient(url=self.url, fencing=fencing)
+        self.addAsyncCleanup(orders.close)
+        with self.assertRaises(EngineUnreachableError):
+            await orders.send_order("load_model", version="v2")
+
     async def test_whole_answers_are_complete(self):
         for behaviour in ("whole", "unframed", "interim"):
             with self.subTest(behaviour):
--- a/tests/test_fuzz_answers.py
+++ b/tests/test_fuzz_answers.py
@@ -414,7 +414,9 @@
 
     def __init__(self, body, status=200):
         self.status = status
+        self.reason = ""
         self.headers = {}
+        self.raw_headers = ()
         self.url = "http://engine"
         self._body = body
         self.content = self
