Believe no answer of the store that cannot be the one to the call

A late copy of an earlier answer on the store's connection was taken for the answer to the next call: a gateway that read the operator's page in place of the targets' had no targets until they changed, and a copy of earlier changes brought a target back that was gone. Answers of the store name no call, and the watch goes on from the later revision, so nothing corrected this.

A page whose keys do not begin with the prefix that was asked for, and changes at or before the revision that was asked for, are errors now; the connection is closed, and the call is sent again on a new one. What remains: an empty copy, and a copy of an older page of the same prefix. The fake client of the fuzz tests can be closed.

LateAnswerTests: both failed before (a time-out without targets, a gone target back); both pass now.

--- a/src/waxwinghold/platform/store.py
+++ b/src/waxwinghold/platform/store.py
@@ -211,6 +211,15 @@
     raise StoreError(status=None, reason=reason)
 
 
+def _other_answer(client, reason):
+    """Return the error for the answer to an earlier call on a client's connection.
+
+    Answers of the store do not name their calls, so the connection is closed.
+    """
+    client.close()
+    return StoreError(status=None, reason=reason)
+
+
 class StoreWatcher:
     """Keeps the ``PublishedState`` up to date with the store.
 
@@ -384,13 +393,19 @@
 
         The revision is that of the first page: later changes may be missing.
         """
-        operator_items, revision, era = await read_range(self._client, OPERATOR_PREFIX)
-        target_items, _, targets_era = await read_range(self._client, TARGETS_PREFIX)
+        operator_items, revision, era = await self._read_range(OPERATOR_PREFIX)
+        target_items, _, targets_era = await self._read_range(TARGETS_PREFIX)
         if targets_era != era:
             raise StoreError(status=None, reason="an era began between two reads")
         self._check_era(era)
         return operator_items, target_items, revision, era
 
+    async def _read_range(self, prefix):
+        items, revision, era = await read_range(self._client, prefix)
+        if not all(item.key.startswith(prefix) for item in items):
+            raise _other_answer(self._client, f'a page of "{prefix}" has other keys')
+        return items, revision, era
+
     async def _watch(self, after, wait_ms):
         """Apply the changes after revision ``after``.
 
@@ -421,7 +436,10 @@
                 self._readers.reset()
             raise
         self._check_era(answer.era)
-        self._apply_read(_events_decoder.decode(answer.body), after, answer.body)
+        changes = _events_decoder.decode(answer.body)
+        if not all(item.revision > after for item in changes.events):
+            raise _other_answer(self._client, f"changes after {after} have older ones")
+        self._apply_read(changes, after, answer.body)
 
     def _changes_limit_bytes(self):
         """Return the longest answer to a watch; one version always fits into it."""
--- a/tests/test_fuzz_answers.py
+++ b/tests/test_fuzz_answers.py
@@ -94,6 +94,9 @@
         answer = self._bodies.pop(0) if len(self._bodies) > 1 else self._bodies[0]
         return AnswerHead(status=200, headers=self._headers), answer
 
+    def close(self):
+        pass
+
 
 class AnswersCase(unittest.TestCase):
     def setUp(self):
--- a/tests/test_platform_store.py
+++ b/tests/test_platform_store.py
@@ -1,6 +1,7 @@
 """Tests reading and watching the store, also while it fails."""
 
 import asyncio
+import types
 import unittest
 from unittest import mock
 
@@ -36,7 +37,7 @@
         handler = logbook.NullHandler()
         handler.push_application()
         self.addCleanup(handler.pop_application)
-        self.store = FleetStore(page_count=2)
+        self.store = self.make_store()
         await self.store.start()
         self.addAsyncCleanup(self.store.stop)
         clock = Clock()
@@ -59,6 +60,9 @@
             address=self.store.address,
         )
 
+    def make_store(self):
+        return FleetStore(page_count=2)
+
     def start(self):
         task = asyncio.create_task(self.watcher.run())
         self.addCleanup(task.cancel)
@@ -250,6 +254,65 @@
                 await self.until(lambda: self.published.asked_ms > before_ms, 8)
 
 
+class LateStore(FleetStore):
+    """A store that may send an earlier answer once more before the next one.
+
+    Attributes:
+        answers: All answers so far, as bytes.
+        late: The answer to send before the next one; empty for none.
+    """
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        self.answers = []
+        self.late = b""
+
+    async def handle(self, request, writer):
+        def write(data):
+            late, self.late = self.late, b""
+            writer.write(late + data)
+            self.answers.append(data)
+
+        return await super().handle(request, types.SimpleNamespace(write=write))
+
+
+class LateAnswerTests(WatchCase):
+    """A late copy of an earlier answer was taken for the answer to the next read."""
+
+    def make_store(self):
+        return LateStore(page_count=2)
+
+    async def test_a_page_of_another_prefix_is_not_a_list_of_targets(self):
+        self.store.put("op/config", configuration())
+        self.put_worker("w0")
+        send = self.store.handle
+
+        async def send_late(request, writer):
+            if "servers" in request.path and len(self.store.answers) == 1:
+                self.store.late = self.store.answers[0]
+            return await send(request, writer)
+
+        with mock.patch.object(self.store, "handle", send_late):
+            self.start()
+            await self.until(lambda: self.names() == {"w0"})
+        self.assertEqual(self.version, 1)
+
+    async def test_earlier_changes_do_not_undo_later_ones(self):
+        self.store.put("op/config", configuration())
+        self.start()
+        await self.until(lambda: self.version == 1)
+        for name in ("w0", "w1"):
+            self.put_worker(name)
+            await self.until(lambda name=name: name in self.names())
+        copy = next(answer for answer in self.store.answers if b"servers/w0" in answer)
+        self.store.delete("servers/w0")
+        await self.until(lambda: "w0" not in self.names())
+        self.store.late = copy
+        self.put_worker("w2")
+        await self.until(lambda: "w2" in self.names())
+        self.assertEqual(self.names(), {"w1", "w2"})
+
+
 class ListTests(unittest.TestCase):
     def setUp(self):
         handler = logbook.NullHandler()
