Find joined heads in bodies also behind long and many fields

A body that was filled up with another answer was passed on as a success if a field before the id had a value of over 512 bytes, a name of over 64, or if more than 64 fields stood before it: the bounds of the search were shorter than heads may be.

The bounds are now those that heads of targets keep to: 256 fields, values of 8 KB.

JoinedBodiesTests failed before (values of 600 bytes, 70 fields), passes now.

--- a/src/waxwinghold/_decisions/answer_origin.py
+++ b/src/waxwinghold/_decisions/answer_origin.py
@@ -14,7 +14,7 @@
 # time that grows with the square of a body's length.
 HEAD_PATTERN = re.compile(
     STATUS_LINE_PATTERN.pattern
-    + rb"[^\r\n]{0,128}\r\n((?:[^\r\n:]{1,64}:[^\r\n]{0,512}\r\n){0,64})"
+    + rb"[^\r\n]{0,128}\r\n((?:[^\r\n:]{1,256}:[^\r\n]{0,8192}\r\n){0,256})"
 )
 # On each side of the end of a body; heads of targets have some hundred bytes.
 END_SEARCH_BYTES = 4096
--- a/tests/test_decisions_answer_origin.py
+++ b/tests/test_decisions_answer_origin.py
@@ -81,7 +81,12 @@
     def test_the_head_of_an_answer_to_a_recent_request_shows(self):
         for name in (b"Attempt-Id", b"attempt-id"):
             for value in (b"r-1", b" r-2 "):
-                for between in (b"", b"Server-Seal: s:1\r\nDate: x\r\n"):
+                for between in (
+                    b"",
+                    b"Server-Seal: s:1\r\nDate: x\r\n",
+                    b"Server-Seal: " + b"s" * 600 + b"\r\n",
+                    b"A: b\r\n" * 70,
+                ):
                     head = b"HTTP/1.1 200 OK\r\n%b%b:%b\r\n" % (between, name, value)
                     self.assertTrue(self.is_joined(head), head)
                     self.assertTrue(self.is_joined(b"data: a" + head + b"rest"), head)
