--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import contextlib
+from unittest import mock
 
 import logbook
 
 from waxwinghold._gateway.answer_doubts import Doubt
+from waxwinghold._gateway.connection import TargetConnection
+from waxwinghold._gateway.errors import MalformedAnswerError
 from waxwinghold_standins._raw_http import answer_bytes
 
 from .support.gateway import HOST, KEY, GatewayFixture
@@ -87,6 +90,68 @@
             )
 
 
+class BrokenOffPartsTests(LoopCase):
+    """An answer that was broken off in another part than its head was completed."""
+
+    def setUp(self):
+        super().setUp()
+        chunked = answer_bytes(
+            200,
+            [("Attempt-Id", "due"), ("Transfer-Encoding", "chunked")],
+            with_length=False,
+        )
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\n"
+        chunks = b'3;e="f"\r\nabc\r\n40\r\nabc'
+        trailer = b"0\r\nServer-Load: 1\r\n\r\n"
+        self.parts = [
+            *(interim[:end] for end in range(1, len(interim))),
+            *(chunked + chunks[:end] for end in range(len(chunks) + 1)),
+            *(chunked + b"3\r\nabc\r\n" + trailer[:end] for end in range(len(trailer))),
+        ]
+
+    async def test_no_break_in_chunks_or_interim_heads_gives_another_status(self):
+        async with GatewayFixture(behaviours=["whole"]).open() as fixture:
+            (worker,) = fixture.workers
+            target = fixture.gateway.target_pool.get(worker.name)
+            target.record_failure = lambda *, now_ms: None  # It stays in use.
+            worker.event_ms = 0.0
+            for number, worker.stray_bytes in enumerate(self.parts):
+                worker.behaviour = "whole"
+                status, _, _ = await fixture.call(
+                    "/safe/a", request_id=f"before-{number}"
+                )
+                self.assertEqual(status, 200)
+                connections_count = worker.connections_count
+                worker.behaviour = "after_stray"
+                status, _, _ = await fixture.call(
+                    "/safe/a", request_id="due", Deadline_Ms="400"
+                )
+                with self.subTest(worker.stray_bytes[-24:]):
+                    self.assertIn(status, (502, 504))
+                    self.assertEqual(worker.connections_count, connections_count)
+
+    async def test_the_pieces_in_which_an_answer_arrives_do_not_matter(self):
+        due = answer_bytes(500, [("Attempt-Id", "due")], b"failed")
+        heads = [
+            answer_bytes(200, headers, with_length=False)[:-2] + end
+            for headers in (EARLIER_HEADERS, EARLIER_HEADERS[::-1])
+            for end in (b"", b"X", b"X:", b"X: a")
+        ]
+        for part in (b"HTTP/1.1 200 O", *heads, *self.parts):
+            for piece_bytes in (1, 7, 1000):
+                with self.subTest(part[-24:], piece_bytes=piece_bytes):
+                    connection = TargetConnection()
+                    connection.connection_made(mock.MagicMock())
+                    connection.send(b"", request_id="due")
+                    data = part + due
+                    while data and not connection._failure:
+                        connection.data_received(data[:piece_bytes])
+                        data = data[piece_bytes:]
+                    with self.assertRaises(MalformedAnswerError):
+                        await connection.head()
+                        await connection.whole_body()
+
+
 class UnframedAnswersTests(LoopCase):
     """The end of an answer without a length was taken for the beginning of another."""
 
