--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -37,6 +37,7 @@
         filling: Bytes sent in place of the rest of an answer, for the behaviours
             ``filled_up`` and ``stream_filled_up``, or behind one, for ``trailed``.
         names_requests: Whether answers have the ``Attempt-Id`` of their request.
+        event_bytes: Size of an event, for the behaviour ``endless_events``.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
         limit_text: Value of ``Server-Limit`` in answers; empty for none.
         body: Body of an answer that is not a stream.
@@ -81,6 +82,7 @@
         self.failure = b"failed"
         self.names_requests = True
         self._kept_writers = weakref.WeakSet()  # Of connections with an answer.
+        self.event_bytes = 1000
         self.name = name
         self.behaviour = behaviour
         self.events_count = events_count
@@ -341,7 +343,7 @@
         """Send a stream whose events do not end, as fast as they are read."""
         headers = [*self.record_run(request), ("Content-Type", "text/event-stream")]
         writer.write(answer_bytes(200, headers, with_length=False))
-        event = b'data: "' + b"x" * 1000 + b'"\n\n'
+        event = b'data: "' + b"x" * self.event_bytes + b'"\n\n'
         await send_blocks(writer, event * 16, on_sent=self._count_endless)
         return False
 
--- a/tests/support/real_process.py
+++ b/tests/support/real_process.py
@@ -44,6 +44,11 @@
             finally:
                 await self._end()
 
+    @property
+    def pid(self):
+        """The id of the process."""
+        return self._process.pid
+
     def pause(self):
         """Pause the process with SIGSTOP."""
         self._process.send_signal(signal.SIGSTOP)
