Bound the memory that all callers together hold, and reset the worst holders

They sent requests ahead and read long answers slowly or not at all; each stayed within the limits of one request.

Causes: nothing counted what callers hold together. The HTTP server reads 32 requests ahead with their bodies; a long answer is kept twice, in the response and in the transport; a send that fails keeps the answer's body in a reference cycle of its error until a collection, which counts objects and not bytes; and the C library keeps freed blocks of several MB.

CallerConnections now has one account of what was received and not served and of what was answered and not read, heads, bodies and streams alike. Beyond callers_memory_limit_bytes (32 MiB by default, and never less than two of the longest bodies) the connections that hold most for longest are reset, with a log line and two gauges. _decisions.held_memory chooses them; a single caller is never reset. One request is read ahead, in pieces of 16 KiB; long answers are written in pieces of 64 KiB, and the kernel takes 128 KiB beyond the caller's window, so slow progress shows sooner than in steps of a MB. Errors no longer keep bodies, and large blocks go back to the system.

Ruled out: a limit per connection (2,000 connections with 100 KB each need 271 MB), and lower limits of bodies or answers, which sound callers would meet.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -1,12 +1,23 @@
 """Callers' connections to a gateway or an entry, and the limits on them."""
 
 import asyncio
+import gc
 import resource
+import socket
+from collections import deque
 from dataclasses import dataclass
 
 import logbook
 from aiohttp import web
 
+from ._decisions.held_memory import (
+    LIMIT_BYTES,
+    SMALL_BYTES,
+    Holder,
+    holders_to_reset,
+)
+from ._memory import return_large_blocks
+
 log = logbook.Logger("caller_connections")
 
 SWEEP_INTERVAL_MS = 1000.0
@@ -17,6 +28,17 @@
 UNFINISHED_HEAD_LIMIT_BYTES = 256 * 1024
 HEAD_LINE_LIMIT_BYTES = 8 * 1024  # Of the request line and of each header field.
 LISTEN_QUEUE_COUNT = 512
+# What is read at once, and the most that waits to be written before a handler waits.
+PIECE_BYTES = 16 * 1024
+UNSENT_BYTES = 128 * 1024  # In the kernel, beyond the window of the caller.
+# With so many, a connection is not read until they are served. With one, reading would
+# stop for a moment at each request.
+QUEUED_REQUESTS_COUNT = 2
+QUEUED_REQUEST_BYTES = 4 * 1024  # Memory of a parsed head beside its content.
+# Memory is checked after this growth, or once in a sweep.
+UNCHECKED_LIMIT_BYTES = 2 * 1024 * 1024
+# Whatever the limit of the memory, it has room for this many of the longest bodies.
+LONGEST_BODIES_COUNT = 2
 LOG_INTERVAL_MS = 1000.0
 # A caller that reads slowly takes the system's buffer of several MB in steps.
 UNREAD_LIMIT_MS = 60_000.0
@@ -52,6 +74,8 @@
         requested_ms: When the first byte after that arrived; ``None`` if none did.
         is_served: Whether a request is being handled.
         is_read: Whether the head of a request was read that is not handled yet.
+        waiting_bytes: Returns the size of what waits to be written on the connection,
+            beside the buffer of its transport; ``None`` if nothing does.
     """
 
     __slots__ = (
@@ -60,13 +84,16 @@
         "_head_bytes",
         "_last_body",
         "_next_requested_ms",
+        "_held_since_ms",
         "_owner",
+        "_received",
         "_unread_bytes",
         "_unread_since_ms",
         "idle_since_ms",
         "requested_ms",
         "is_read",
         "is_served",
+        "waiting_bytes",
     )
 
     def __init__(self, manager, *, clock, owner, **options):
@@ -83,9 +110,19 @@
         self._next_requested_ms = None
         self._unread_bytes = 0
         self._unread_since_ms = None
+        # ``[number of a request, bytes]`` of what was received and is not served yet.
+        self._received = deque()
+        self._held_since_ms = None
+        self.waiting_bytes = None
+        # ``aiohttp`` would read 32 requests ahead, with their bodies.
+        self._max_msg_queue_size = QUEUED_REQUESTS_COUNT
+        self._msg_queue_resume_size = QUEUED_REQUESTS_COUNT - 1
 
     def connection_made(self, transport):
         super().connection_made(transport)
+        transport.max_size = PIECE_BYTES
+        transport.set_write_buffer_limits(high=PIECE_BYTES)
+        _limit_unsent(transport.get_extra_info("socket"))
         self._owner.record_opened(self)
 
     def connection_lost(self, exc):
@@ -107,6 +144,54 @@
             self._head_bytes += len(data)
             if self._head_bytes > UNFINISHED_HEAD_LIMIT_BYTES:
                 self._refuse_head()
+        new_count = self._request_count - heads_count
+        is_next = is_head and not new_count
+        self._record_received(
+            self._request_count + is_next,
+            len(data) + new_count * QUEUED_REQUEST_BYTES,
+        )
+
+    def _record_received(self, number, size_bytes):
+        """Record what was received of the request ``number``, or up to it."""
+        if not size_bytes:
+            return
+        if self._received and self._received[-1][0] == number:
+            self._received[-1][1] += size_bytes
+        else:
+            self._received.append([number, size_bytes])
+        self._owner.record_growth(size_bytes)
+
+    def record_waiting(self, waiting_bytes):
+        """Record what waits to be written, until the request was answered.
+
+        Args:
+            waiting_bytes: Returns its size now.
+        """
+        self.waiting_bytes = waiting_bytes
+        self._owner.record_growth(waiting_bytes())
+
+    @property
+    def held_bytes(self):
+        """The memory that the caller takes by what it sent and has not read."""
+        size_bytes = sum(size_bytes for _, size_bytes in self._received)
+        if self.waiting_bytes is not None:
+            size_bytes += self.waiting_bytes()
+        if self.transport is not None:
+            size_bytes += self.transport.get_write_buffer_size()
+        return size_bytes
+
+    def update_holder(self):
+        """Return the ``Holder`` of the present memory.
+
+        Times count from the first call that finds more than ``SMALL_BYTES``.
+        """
+        held_bytes, now_ms = self.held_bytes, self._clock.now_ms()
+        if held_bytes <= SMALL_BYTES:
+            self._held_since_ms = None
+        elif self._held_since_ms is None:
+            self._held_since_ms = now_ms
+        held_ms = 0.0 if self._held_since_ms is None else now_ms - self._held_since_ms
+        return Holder(connection=self, held_bytes=held_bytes, held_ms=held_ms)
 
     def _record_arrival(self):
         if self.requested_ms is None:
@@ -142,6 +227,10 @@
 
     def end_request(self):
         """Record that the request was answered."""
+        self.waiting_bytes = None
+        served_number = self._request_count - len(self._messages)
+        while self._received and self._received[0][0] <= served_number:
+            self._received.popleft()
         self.is_served = False
         self._content = None
         self.requested_ms, self._next_requested_ms = self._next_requested_ms, None
@@ -162,6 +251,10 @@
             return False
         return now_ms - self.requested_ms > limits.header_timeout_ms
 
+    def resume_writing(self):
+        self._unread_since_ms = None  # The caller has read most of the buffer.
+        super().resume_writing()
+
     def is_unread(self):
         """Return whether the caller has read nothing of its answer for too long.
 
@@ -202,9 +295,13 @@
             read. A body that is passed on with its headers must not be.
         count_limit: Highest number of connections; by default a share of the
             process's descriptors.
+        memory_limit_bytes: Returns the memory that all callers together may hold; the
+            worst holders beyond it are reset.
+        body_limit_bytes: Returns the longest body of a request.
 
     Attributes:
         opened_count: Connections that were accepted so far.
+        reset_for_memory_count: Connections that were reset for their memory so far.
     """
 
     def __init__(
@@ -215,7 +312,14 @@
         head_line_limit_bytes=HEAD_LINE_LIMIT_BYTES,
         decodes_bodies=True,
         count_limit=None,
+        memory_limit_bytes=lambda: LIMIT_BYTES,
+        body_limit_bytes=lambda: 0,
     ):
+        self._memory_limit_bytes = memory_limit_bytes
+        self._body_limit_bytes = body_limit_bytes
+        self._unchecked_bytes = 0
+        self.reset_for_memory_count = 0
+        self._collected_count = 0
         self._clock = clock
         self._limits = limits
         self._head_line_limit_bytes = head_line_limit_bytes
@@ -245,6 +349,7 @@
             address: ``(ip, port)``.
             server: The ``web.Server`` that handles the requests.
         """
+        return_large_blocks()
         loop = asyncio.get_running_loop()
 
         def make_connection():
@@ -276,6 +381,8 @@
             await self._clock.sleep_ms(SWEEP_INTERVAL_MS)
             self.close_expired(self._limits())
             self.reset_unread()
+            self.limit_memory([connection.update_holder() for connection in self._open])
+            self._collect_reset()
 
     def close_expired(self, limits):
         """Close the connections that exceed a time limit of ``limits``."""
@@ -295,6 +402,66 @@
                 log.info("caller does not read its answer, connection reset")
                 connection.transport.abort()
 
+    @property
+    def held_bytes(self):
+        """The memory that all callers take by what they sent and have not read."""
+        return sum(connection.held_bytes for connection in self._open)
+
+    def add_gauges(self, metrics):
+        """Register the gauges of the callers' memory in the process's ``Metrics``."""
+        metrics.gauge("callers_held_bytes", lambda: self.held_bytes)
+        metrics.gauge("callers_reset_for_memory", lambda: self.reset_for_memory_count)
+
+    def record_growth(self, size_bytes):
+        """Record that callers hold more memory than at the last check."""
+        self._unchecked_bytes += size_bytes
+        if self._unchecked_bytes > UNCHECKED_LIMIT_BYTES:
+            self._unchecked_bytes = 0
+            if self.held_bytes > self._held_limit_bytes():
+                self.limit_memory(
+                    [connection.update_holder() for connection in self._open]
+                )
+
+    def _held_limit_bytes(self):
+        return max(
+            self._memory_limit_bytes(),
+            LONGEST_BODIES_COUNT * self._body_limit_bytes(),
+        )
+
+    def limit_memory(self, holders):
+        """Reset the worst of ``holders`` while all of them hold too much memory."""
+        limit_bytes = self._held_limit_bytes()
+        for holder in holders_to_reset(holders, limit_bytes=limit_bytes):
+            self._reset_for_memory(holder, limit_bytes)
+
+    def _collect_reset(self):
+        """Free what reset requests have left in reference cycles.
+
+        The collector counts objects and not their bytes: it would run much later.
+        """
+        if self.reset_for_memory_count > self._collected_count:
+            self._collected_count = self.reset_for_memory_count
+            gc.collect()
+
+    def _reset_for_memory(self, holder, limit_bytes):
+        connection = holder.connection
+        if connection.transport is None:
+            return  # It is being closed.
+        self.reset_for_memory_count += 1
+        # Its loss is reported later; meanwhile its memory must not count again.
+        self.record_closed(connection)
+        address = connection.transport.get_extra_info("peername")
+        log.warn(
+            "callers hold too much memory, connection reset",
+            extra={
+                "caller": "{}:{}".format(*address[:2]) if address else None,
+                "held_bytes": holder.held_bytes,
+                "held_ms": round(holder.held_ms),
+                "limit_bytes": limit_bytes,
+            },
+        )
+        connection.transport.abort()
+
     def close_idle(self):
         """Close the connections on which no answer is due."""
         for connection in self.open:
@@ -344,6 +511,18 @@
             )
 
 
+def _limit_unsent(sock):
+    """Limit what the kernel buffers beyond the caller's window.
+
+    By default it takes several MB, and room for more is reported after a third of
+    that was sent: a caller that reads slowly would seem to read nothing.
+    """
+    try:
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, UNSENT_BYTES)
+    except OSError as error:
+        log.debug("unsent bytes cannot be limited: {!r}", error)
+
+
 def _descriptors_share():
     descriptors_count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors_count == resource.RLIM_INFINITY:
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -136,6 +136,8 @@
         finally:
             await self._cancel_sends()
             self._hedge.end()
+            # An error refers to this object through its traceback.
+            self._failure = self._failed_answer = None
 
     async def _wait_for_change(self):
         """Wait until a send has ended or is stuck, and return whether one has or is.
--- a/src/waxwinghold/_gateway/caller_server.py
+++ b/src/waxwinghold/_gateway/caller_server.py
@@ -22,6 +22,7 @@
 PARSER_LIMIT_BYTES = 64 * 1024
 BODY_READ_LIMIT_MS = 10_000.0  # Several times the slowest upload that meets a deadline.
 FINISH_INTERVAL_MS = 50.0
+PIECE_BYTES = 64 * 1024  # A longer body is written in pieces, as it is read.
 CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
 
 
@@ -34,12 +35,14 @@
 
     Attributes:
         response: The ``aiohttp`` response; ``None`` before the answer is begun.
+        source: The ``TargetConnection`` from which a streamed answer is passed on.
     """
 
     def __init__(self, *, request, closing):
         self._request = request
         self._closing = closing
         self.response = None
+        self.source = None
 
     async def start(self, *, status, headers):
         """Begin a streamed answer."""
@@ -49,6 +52,9 @@
 
     async def write(self, data):
         """Send a part of a streamed answer."""
+        self._request.protocol.record_waiting(
+            lambda: len(data) + self.source.buffered_bytes
+        )
         await self.response.write(data)
 
     async def finish(self):
@@ -57,8 +63,19 @@
 
     async def send_whole(self, *, status, headers, body):
         """Send an answer that is not streamed."""
-        self.response = web.Response(status=status, headers=headers, body=body)
+        if len(body) <= PIECE_BYTES:
+            self.response = web.Response(status=status, headers=headers, body=body)
+            await self._prepare()
+            await self.response.write_eof()
+            return
+        # The transport would keep a copy of all that the caller has not read.
+        self._request.protocol.record_waiting(lambda: len(body))
+        self.response = web.StreamResponse(status=status, headers=headers)
+        self.response.content_length = len(body)
         await self._prepare()
+        view = memoryview(body)
+        for start in range(0, len(body), PIECE_BYTES):
+            await self.response.write(view[start : start + PIECE_BYTES])
         await self.response.write_eof()
 
     def abort(self):
@@ -88,7 +105,10 @@
             limits=lambda: gateway.limits,
             head_line_limit_bytes=PARSER_LIMIT_BYTES,
             decodes_bodies=False,
+            memory_limit_bytes=lambda: gateway.settings.callers_memory_limit_bytes,
+            body_limit_bytes=lambda: gateway.limits.body_bytes,
         )
+        self._connections.add_gauges(gateway.metrics)
 
     @property
     def open_count(self):
--- a/src/waxwinghold/_gateway/connection.py
+++ b/src/waxwinghold/_gateway/connection.py
@@ -166,6 +166,11 @@
         """Send no further request on this connection."""
         self._keep_alive = False
 
+    @property
+    def buffered_bytes(self):
+        """The memory of what has arrived and was not read yet."""
+        return self._buffered_bytes
+
     @property
     def has_arrived(self):
         """Whether the next part of an answer, or its failure, can be read at once."""
@@ -242,6 +247,14 @@
 
     def abort(self):
         """Reset the connection, so the target can see that no answer is expected."""
+        self._reset()
+        # A raised error keeps the frames that it passed, and they keep the connection:
+        # without the error, all of it is freed at once.
+        self._failure = ConnectionLostError("the connection was reset")
+        self._pieces.clear()
+        self._buffered_bytes = 0
+
+    def _reset(self):
         answer_sizes.release(self)
         self._transport.abort()
 
@@ -261,7 +274,7 @@
             self._fail(
                 MalformedAnswerError("bytes received after the end of an answer")
             )
-            self.abort()
+            self._reset()
             return
         was_in_body = self._in_body
         self._framing_bytes += len(data)
@@ -279,10 +292,10 @@
             if not isinstance(cause, MalformedAnswerError):
                 cause = MalformedAnswerError(f"not a valid HTTP answer: {error}")
             self._fail(cause)
-            self.abort()
+            self._reset()
         except httptools.HttpParserUpgrade:
             self._fail(MalformedAnswerError("the target changed the protocol"))
-            self.abort()
+            self._reset()
         finally:
             self._received = self._last_part = b""
 
@@ -431,7 +444,7 @@
                 },
             )
         self._fail(error)
-        self.abort()
+        self._reset()
         return error
 
     def _fail(self, error):
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -273,11 +273,17 @@
             )
             raise MalformedAnswerError("another answer begins inside the body")
 
-    async def _pass_whole(self, target, connection, head):
+    async def _whole_body(self, connection):
         parts = []
-        while data := await self._piece(connection, connection.body):
-            parts.append(data)
-        body = b"".join(parts)
+        try:
+            while data := await self._piece(connection, connection.body):
+                parts.append(data)
+            return b"".join(parts)
+        finally:
+            parts.clear()  # An error would keep them until the next collection.
+
+    async def _pass_whole(self, target, connection, head):
+        body = await self._whole_body(connection)
         self._check_body(connection, body)
         self._record_first_answer(target, has_run=shows_run(head.status))
         if head.status >= FIRST_ERROR_STATUS:
@@ -310,7 +316,7 @@
                 raise MalformedAnswerError(str(error)) from error
             for event, _ in events:
                 self._check_body(connection, event)
-            await self._pass_events(head, events)
+            await self._pass_events(connection, head, events)
             if events:
                 # Time spent on a caller that reads slowly is no silence of the target.
                 self._progressed_ms = self._clock.now_ms()
@@ -419,7 +425,7 @@
             )
         )
 
-    async def _pass_events(self, head, events):
+    async def _pass_events(self, connection, head, events):
         passed = []
         last_id = self._progress.last_event_id
         for event, event_id in events:
@@ -436,6 +442,7 @@
             self._on_progress()
             self._progress.last_event_id = last_id
             await self._begin_stream(head)
+            self._answer.source = connection
             await self._answer.write(b"".join(passed))
 
     async def _within(self, coroutine, limit_ms):
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -2,6 +2,8 @@
 
 from dataclasses import dataclass
 
+from .._decisions.held_memory import LIMIT_BYTES
+
 # Settings that cannot change while the process runs: its sockets and tasks are created
 # with them at the start.
 FIXED_SETTINGS = (
@@ -61,6 +63,8 @@
         metrics_port: TCP port of the metrics over HTTP; 0 for no metrics.
         fair_customers: Whether customers above an equal share of the recent starts
             wait behind the others of the same priority while slots are scarce.
+        callers_memory_limit_bytes: Memory for what all callers have sent and not read.
+            The connections that hold most of it for longest are reset beyond that.
     """
 
     name: str
@@ -88,3 +92,4 @@
     log_level: str = "INFO"
     metrics_port: int = 0
     fair_customers: bool = False
+    callers_memory_limit_bytes: int = LIMIT_BYTES
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -10,6 +10,7 @@
 import json5
 
 from ._convert import ConversionError, convert
+from ._decisions.held_memory import LIMIT_BYTES
 from ._errors import SettingsError
 
 PORT_PATTERN = re.compile("[0-9]{1,5}")
@@ -133,6 +134,8 @@
         drain_notice_ms: Time for which a stopping entry still takes new requests
             while its health check already fails.
         retry_budget_ratio: Retries allowed per first attempt.
+        callers_memory_limit_bytes: Memory for what all callers have sent and not read.
+            The connections that hold most of it for longest are reset beyond that.
     """
 
     http_address: str
@@ -146,6 +149,7 @@
     keepalive_interval_ms: int = 10_000
     drain_notice_ms: int = 2000
     retry_budget_ratio: float = 0.1
+    callers_memory_limit_bytes: int = LIMIT_BYTES
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/tests/test_callers_limits.py
@@ -0,0 +1,101 @@
+"""Tests of the memory that a gateway's callers hold together, in one event loop."""
+
+import asyncio
+
+import logbook
+
+from .support.gateway import HOST, KEY, GatewayFixture
+from .support.loop_case import LoopCase
+
+LIMIT_BYTES = 9 * 1024 * 1024  # Above twice the longest body.
+BODY_BYTES = 4 * 1024 * 1024
+SENT_AHEAD_COUNT = 100
+
+
+def request_bytes(number, body_bytes=0):
+    head = (
+        f"POST /safe/a HTTP/1.1\r\nHost: {HOST}\r\nCredential: {KEY}\r\n"
+        f"Attempt-Id: r-{number}\r\nContent-Length: {body_bytes}\r\n\r\n"
+    )
+    return head.encode()
+
+
+class HeldMemoryTests(LoopCase):
+    """Callers that did not finish their bodies together filled the memory."""
+
+    async def test_the_worst_holder_is_reset_and_the_others_are_served(self):
+        fixture = GatewayFixture(
+            behaviours=["whole"], callers_memory_limit_bytes=LIMIT_BYTES
+        )
+        async with fixture.open():
+            writers = []
+            with logbook.TestHandler().applicationbound() as logs:
+                for number in range(4):
+                    reader, writer = await asyncio.open_connection(
+                        "127.0.0.1", fixture.port
+                    )
+                    writers.append((reader, writer))
+                    writer.write(request_bytes(number, BODY_BYTES))
+                    writer.write(b"x" * (BODY_BYTES - 1))
+                    await asyncio.sleep(0.1)
+                status, _, _ = await fixture.call("/safe/a", request_id="ordinary")
+                self.assertEqual(status, 200)
+            reset = [
+                line.extra["held_bytes"]
+                for line in logs.records
+                if line.message == "callers hold too much memory, connection reset"
+            ]
+            self.assertEqual(len(reset), 2)
+            self.assertGreater(min(reset), BODY_BYTES // 2)
+            metrics = fixture.gateway.metrics.render().decode()
+            self.assertRegex(metrics, r"waxwinghold_callers_reset_for_memory\{.*\} 2.0")
+            statuses = []
+            for reader, writer in writers:
+                try:
+                    writer.write(b"x")
+                    statuses.append((await reader.readline()).split()[1:2])
+                except ConnectionError:
+                    statuses.append([])
+                writer.close()
+            self.assertEqual(sorted(statuses), [[], [], [b"200"], [b"200"]])
+
+    async def test_memory_is_not_held_by_callers_that_were_answered(self):
+        fixture = GatewayFixture(behaviours=["whole"])
+        async with fixture.open():
+            fixture.workers[0].body = b"y" * BODY_BYTES
+            reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
+            for number in range(3):
+                writer.write(request_bytes(number, BODY_BYTES) + b"x" * BODY_BYTES)
+                await reader.readuntil(b"\r\n\r\n")
+                await reader.readexactly(BODY_BYTES)
+            await asyncio.sleep(0.05)
+            metrics = fixture.gateway.metrics.render().decode()
+            self.assertRegex(metrics, r"waxwinghold_callers_held_bytes\{.*\} 0.0")
+            writer.close()
+
+
+class SentAheadTests(LoopCase):
+    """Requests sent ahead were all read, with their bodies, before the first answer."""
+
+    async def test_requests_sent_ahead_are_answered_in_their_order(self):
+        fixture = GatewayFixture(behaviours=["whole"])
+        async with fixture.open():
+            for body_bytes in (0, 30_000):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", fixture.port
+                )
+                ids = [f"r-{body_bytes}-{n}" for n in range(SENT_AHEAD_COUNT)]
+                for request_id in ids:
+                    head = request_bytes("", body_bytes)
+                    writer.write(head.replace(b"r-\r\n", request_id.encode() + b"\r\n"))
+                    writer.write(b"x" * body_bytes)
+                answered = []
+                async with asyncio.timeout(20.0):
+                    for _ in ids:
+                        head = await reader.readuntil(b"\r\n\r\n")
+                        await reader.readexactly(len(fixture.workers[0].body))
+                        answered.append(
+                            head.lower().split(b"attempt-id: ")[1].split(b"\r\n")[0]
+                        )
+                self.assertEqual([name.decode() for name in answered], ids)
+                writer.close()
