Free a target's slot and connection before its answer is passed on

A send kept its slot, and its connection to the target, until the caller had read the answer, although the target had done its part.

Both are now free once the whole answer, or the end of a stream, has arrived.

Two tests took the slot for the sign that a request goes on: one now slows the writing itself down, the other waits in addition until no answer is due to a caller, so it still fails if the connection is not reset.

--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -1,6 +1,7 @@
 """Handles one request from its admission to its answer, with retries."""
 
 import asyncio
+import contextlib
 from dataclasses import dataclass
 
 import logbook
@@ -392,6 +393,8 @@
         slot, running.slot = running.slot, None
         if slot is None:
             slot = await self._acquire_slot()
+        occupied = contextlib.ExitStack()
+        occupied.callback(self._admission_queue.release, slot)
         target = running.target = slot.target
         self._sends_count += 1
         self._tried.add(target.listing.name)
@@ -413,6 +416,7 @@
             on_sent=lambda: self._hedge.record_sent(
                 running, is_alone=len(self._running) == 1
             ),
+            on_answered=occupied.close,
         )
         try:
             await attempt.run(target)
@@ -432,7 +436,7 @@
         finally:
             running.may_have_arrived = attempt.may_have_arrived
             self._may_have_arrived = self._may_have_arrived or attempt.may_have_arrived
-            self._admission_queue.release(slot)
+            occupied.close()
         target.record_success()
         return None
 
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -117,6 +117,7 @@
         on_progress: Called before anything is passed on to the caller; with ``ends``
             if that is the end of a stream.
         on_sent: Called when the request is sent.
+        on_answered: Called when the whole answer has arrived and is to be passed on.
 
     Attributes:
         may_have_arrived: Whether any byte may have reached the target.
@@ -137,6 +138,7 @@
         on_stuck,
         on_progress,
         on_sent,
+        on_answered,
     ):
         self._gateway = gateway
         self._clock = gateway.clock
@@ -155,6 +157,7 @@
         self._on_stuck = on_stuck
         self._on_progress = on_progress
         self._on_sent = on_sent
+        self._on_answered = on_answered
         self.may_have_arrived = False
         self.has_head = False
         self.has_data = False
@@ -190,14 +193,17 @@
             if not metadata.executed:
                 await self._within(connection.skip_body(), self._rejection_limit_ms())
                 raise NotExecutedError(status=head.status, culprit=metadata.culprit)
-            if route.kind is RequestKind.STREAM and head.status < 300:
+            is_stream = route.kind is RequestKind.STREAM and head.status < 300
+            if is_stream:
                 await self._pass_stream(target, connection, head)
             else:
-                await self._pass_whole(target, connection, head)
+                body = await self._whole_answer(target, connection, head)
         except BaseException:
             connection.abort()
             raise
         target.connections.release(connection)
+        if not is_stream:
+            await self._pass_whole(head, body)
 
     def _request_bytes(self, target):
         return self._gateway.codec.request_bytes(
@@ -282,7 +288,12 @@
         finally:
             parts.clear()  # An error would keep them until the next collection.
 
-    async def _pass_whole(self, target, connection, head):
+    async def _whole_answer(self, target, connection, head):
+        """Return the body of the answer, which the caller is to get.
+
+        Raises:
+            FailedAnswerError: It is an error, and another send may do better.
+        """
         body = await self._whole_body(connection)
         self._check_body(connection, body)
         self._record_first_answer(target, has_run=shows_run(head.status))
@@ -293,9 +304,14 @@
         if self._progress.started:
             # A second head in the middle of the answer would be no valid answer.
             raise FailedAnswerError(head=head, body=body)
-        headers = self._gateway.codec.answer_headers(head)
         self._on_progress()
         self._progress.is_complete = True
+        return body
+
+    async def _pass_whole(self, head, body):
+        # The target has done its part, and the caller may read slowly.
+        self._on_answered()
+        headers = self._gateway.codec.answer_headers(head)
         await self._answer.send_whole(status=head.status, headers=headers, body=body)
 
     async def _pass_stream(self, target, connection, head):
@@ -328,6 +344,7 @@
             raise ConnectionLostError("the connection ended before the first event")
         self._on_progress(ends=True)
         self._progress.is_complete = True
+        self._on_answered()
         await self._begin_stream(head)
         await self._answer.finish()
 
--- a/tests/test_gateway_request_ends.py
+++ b/tests/test_gateway_request_ends.py
@@ -7,6 +7,7 @@
 import logbook
 
 from waxwinghold import _caller_connections
+from waxwinghold._gateway.caller_server import CallerAnswer
 from waxwinghold._gateway.sending import SendAttempt
 
 from .support.gateway import configuration, standard_routes
@@ -122,21 +123,15 @@
 
     async def test_a_complete_answer_is_passed_on_after_the_end_of_its_request(self):
         started = asyncio.Event()
-        send_whole = SendAttempt._pass_whole
+        send_whole = CallerAnswer.send_whole
 
-        async def pass_slowly(attempt, target, connection, head):
-            whole = attempt._answer.send_whole
-
-            async def send_slowly(**answer):
-                started.set()
-                await asyncio.sleep(TIMEOUT_MS / 1000 + 2 * LATE_S)
-                await whole(**answer)
-
-            attempt._answer.send_whole = send_slowly
-            await send_whole(attempt, target, connection, head)
+        async def send_slowly(answer, **fields):
+            started.set()
+            await asyncio.sleep(TIMEOUT_MS / 1000 + 2 * LATE_S)
+            await send_whole(answer, **fields)
 
         fixture = await self.fixture_with_routes("whole", **{"timeout-ms": TIMEOUT_MS})
-        with mock.patch.object(SendAttempt, "_pass_whole", pass_slowly):
+        with mock.patch.object(CallerAnswer, "send_whole", send_slowly):
             status, _, body = await fixture.call("/safe/a")
         self.assertTrue(started.is_set())
         self.assertEqual((status, body), (200, fixture.workers[0].body))
@@ -167,6 +162,8 @@
                     target.in_flight_count for target in fixture.gateway.target_pool
                 ):
                     await asyncio.sleep(0.01)
+                while fixture.gateway._caller_server.open_count:
+                    await asyncio.sleep(0.01)
                 with self.assertRaises((ConnectionError, EOFError)):
                     await reader.readexactly(2 * LARGE_BYTES)
 
