Close the connection of a scrape after one page of metrics

A page takes some ms, and a connection got one page after the other.

A scrape's connection is now closed after its page, on gateways, entries and agents that serve metrics with the web framework; rank agents did so before. Readiness checks keep their connections.

ScrapesSentAheadTests: 50 pages on one connection before, one now.

--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -12,7 +12,7 @@
 from .._decisions.second_copies import SecondCopies
 from .._decisions.target_choice import Turns, target_policy
 from .._decisions.waiting import UsualDeadline, queue_policy
-from .._metrics import Metrics
+from .._metrics import Metrics, metrics_response
 from .._reload import CHECK_INTERVAL_MS
 from .._settings import split_ip_port
 from .._tasks import ProcessTasks
@@ -412,7 +412,7 @@
     async def _serve_readiness(self):
         async def handle(request):
             if request.path == "/metrics":
-                return web.Response(body=self.metrics.render())
+                return metrics_response(self.metrics)
             return web.Response(status=200 if self._ready() else 503)
 
         loop = asyncio.get_running_loop()
--- a/src/waxwinghold/_metrics.py
+++ b/src/waxwinghold/_metrics.py
@@ -108,14 +108,25 @@
         return family
 
 
+def metrics_response(metrics):
+    """Return the answer to a scrape, which closes its connection.
+
+    A page takes several ms, so many requests sent ahead would stop the process.
+    """
+    from aiohttp import web
+
+    response = web.Response(
+        body=metrics.render(), headers={"Content-Type": CONTENT_TYPE}
+    )
+    response.force_close()
+    return response
+
+
 def add_metrics_route(app, metrics):
     """Serve ``metrics`` at ``/metrics`` of ``app``."""
-    from aiohttp import web
 
     async def serve(request):
-        return web.Response(
-            body=metrics.render(), headers={"Content-Type": CONTENT_TYPE}
-        )
+        return metrics_response(metrics)
 
     app.router.add_get("/metrics", serve)
 
--- a/tests/support/gateway.py
+++ b/tests/support/gateway.py
@@ -236,3 +236,15 @@
     def runs_count(self, request_id="r-1"):
         """Return how many times the workers ran the request."""
         return sum(worker.runs.count(request_id) for worker in self.workers)
+
+
+async def read_until_end(reader):
+    """Return what arrives until the connection ends or is reset."""
+    parts = []
+    try:
+        async with asyncio.timeout(5.0):
+            while data := await reader.read(65536):
+                parts.append(data)
+    except ConnectionError:
+        pass
+    return b"".join(parts)
--- a/tests/test_callers_limits.py
+++ b/tests/test_callers_limits.py
@@ -4,8 +4,9 @@
 
 import logbook
 
-from .support.gateway import HOST, KEY, GatewayFixture
+from .support.gateway import HOST, KEY, GatewayFixture, read_until_end
 from .support.loop_case import LoopCase
+from .support.ports import free_port
 
 LIMIT_BYTES = 9 * 1024 * 1024  # Above twice the longest body.
 BODY_BYTES = 4 * 1024 * 1024
@@ -99,3 +100,20 @@
                         )
                 self.assertEqual([name.decode() for name in answered], ids)
                 writer.close()
+
+
+class ScrapesSentAheadTests(LoopCase):
+    """Scrapes sent ahead on some connections kept a gateway busy for a minute."""
+
+    async def test_a_connection_gets_one_page_of_metrics(self):
+        metrics_port = free_port()
+        fixture = GatewayFixture(behaviours=["whole"], metrics_port=metrics_port)
+        async with fixture.open():
+            for port in (metrics_port, fixture.readiness_port):
+                reader, writer = await asyncio.open_connection("127.0.0.1", port)
+                writer.write(b"GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n" * 50)
+                async with asyncio.timeout(5.0):
+                    answers = await read_until_end(reader)
+                self.assertEqual(answers.count(b"HTTP/1.1 200 OK"), 1)
+                self.assertIn(b"waxwinghold_copy_age_ms", answers)
+                writer.close()
--- a/tests/test_gateway_joined_answers.py
+++ b/tests/test_gateway_joined_answers.py
@@ -11,7 +11,7 @@
 from waxwinghold._gateway.errors import MalformedAnswerError
 from waxwinghold_standins._raw_http import answer_bytes
 
-from .support.gateway import HOST, KEY, GatewayFixture
+from .support.gateway import HOST, KEY, GatewayFixture, read_until_end
 from .support.loop_case import LoopCase
 
 EARLIER_BODY = b"the answer to an earlier request"
@@ -23,18 +23,6 @@
 STATUSES = {"whole": 200, "failing": 500}
 
 
-async def read_until_end(reader):
-    """Return what arrives until the connection ends or is reset."""
-    parts = []
-    try:
-        async with asyncio.timeout(5.0):
-            while data := await reader.read(65536):
-                parts.append(data)
-    except ConnectionError:
-        pass
-    return b"".join(parts)
-
-
 class JoinedAnswersTests(LoopCase):
     """The head of a broken-off copy was joined with the answer that followed it.
 
