--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -36,6 +36,13 @@
         after_stray: Behaviour that selects the answer behind them.
         filling: Bytes sent in place of the rest of an answer, for the behaviours
             ``filled_up`` and ``stream_filled_up``, or behind one, for ``trailed``.
+        cut_bytes: Bytes of an answer that are sent before its connection ends, for the
+            behaviour ``cut``.
+        cut_framing: How the body of that answer ends: ``length``, ``chunked`` or
+            ``until_close``.
+        cut_by_reset: Whether its connection is reset instead of closed.
+        cut_answer_bytes: Bytes of the last head and of the last whole answer that
+            were cut.
         names_requests: Whether answers have the ``Attempt-Id`` of their request.
         event_bytes: Size of an event, for the behaviour ``endless_events``.
         pause_text: Value of ``Retry-After`` in rejections; empty for none.
@@ -80,6 +87,10 @@
         self.after_stray = "failing"
         self.filling = b""
         self.failure = b"failed"
+        self.cut_bytes = 0
+        self.cut_framing = "length"
+        self.cut_by_reset = False
+        self.cut_answer_bytes = (0, 0)
         self.names_requests = True
         self._kept_writers = weakref.WeakSet()  # Of connections with an answer.
         self.event_bytes = 1000
@@ -240,6 +251,30 @@
         reset_connection(writer)
         return False
 
+    async def _answer_cut(self, request, writer):
+        """End the connection after ``cut_bytes`` bytes of the answer."""
+        headers = self.record_run(request)
+        body = self.body
+        if request.path.startswith(("/stream/", "/once/")):
+            headers.append(("Content-Type", "text/event-stream"))
+            numbers = range(1, self.events_count + 1)
+            body = b"".join(stream_event(number) for number in numbers)
+        if self.cut_framing == "chunked":
+            headers.append(("Transfer-Encoding", "chunked"))
+        with_length = self.cut_framing == "length"
+        head = answer_bytes(200, headers, body, with_length=with_length)
+        head = head.removesuffix(body)
+        if self.cut_framing == "chunked":
+            body = http_chunk(body) + b"0\r\n\r\n"
+        self.cut_answer_bytes = (len(head), len(head + body))
+        writer.write((head + body)[: self.cut_bytes])
+        await writer.drain()
+        if self.cut_by_reset:
+            # What was sent has to arrive before the reset.
+            await asyncio.sleep(self.event_ms / MS_PER_SECOND)
+            reset_connection(writer)
+        return False
+
     async def _answer_doubled(self, request, writer):
         """Send the same answer twice."""
         data = answer_bytes(200, self.record_run(request), self.body)
