Pass nothing on late in a planned stop that has not run

Requests that came early in the grace and waited for a slot, or that a target rejected without running them, were passed on at any later moment. At the end of the grace they were cut off with no answer, among them requests that may not be repeated. A safe client could not know that another gateway would serve them.

Cause: a stopping gateway rejects new requests from 2.6 s on, but looked only at their arrival and not at their sends. A request with a time-out of 30 s may wait 7.5 s for a slot.

Ruled out: new requests late in the grace get a 503 at once on the present code (EveryMomentTests, with SIGHUPs and new configurations during the stop).

Change: at the moment from which new requests are rejected, those that have not run and wait for a slot get a 503 with Retry-After, too, and no first send begins after it. A gateway that ends because a task failed now counts as stopping: it is not ready, and closes connections behind answers.

--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -24,6 +24,7 @@
     SendError,
     SilentTargetError,
     SlowTargetError,
+    StoppingError,
     TimedOutError,
     WithdrawnTargetError,
 )
@@ -40,6 +41,7 @@
     EvacuatedTargetsError,
     PausedTargetsError,
     LimitedTargetsError,
+    StoppingError,
 )
 
 STALLED_TARGET_AVOID_MS = 1000.0  # A group that lost a rank stalls for seconds.
@@ -140,6 +142,22 @@
             # An error refers to this object through its traceback.
             self._failure = self._failed_answer = None
 
+    def reject_unsent(self):
+        """Reject the request if it has not run and waits for a slot.
+
+        The gateway stops: it may have no time to wait for an answer to a later send.
+        """
+        if self._ran is not Ran.NOT_RUN:
+            return
+        if any(send.target is not None for send in self._running):
+            return
+        try:
+            self._gateway.check_passing()
+        except StoppingError as error:
+            self._failure = error
+            for send in self._running:
+                send.task.cancel()
+
     async def _wait_for_change(self):
         """Wait until a send has ended or is stuck, and return whether one has or is.
 
@@ -357,6 +375,8 @@
         return self._admitted.end_ms - self._clock.now_ms()
 
     async def _acquire_slot(self):
+        if self._ran is Ran.NOT_RUN:
+            self._gateway.check_passing()
         self._gateway.check_sendable(self._admitted)
         call, route = self._call, self._route
         now_ms = self._clock.now_ms()
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -10,6 +10,7 @@
 from .._decisions.crash_suspects import CrashSuspects, RequestContent
 from .._decisions.retry_budget import budget_policy
 from .._decisions.second_copies import SecondCopies
+from .._decisions.stopping import stop_times
 from .._decisions.target_choice import Turns, target_policy
 from .._decisions.waiting import UsualDeadline, queue_policy
 from .._metrics import Metrics, metrics_response
@@ -52,10 +53,6 @@
 OUTDATED_LIMIT_MS = 30_000.0
 LISTEN_MS = 2000.0  # Two intervals of the notices of many gateways.
 RETRY_ELSEWHERE_MS = 50.0  # Another gateway may be able to serve at once.
-# Time for the platform to stop sending callers: it checks the readiness every second
-# and reacts to the second failed check.
-STOP_ACCEPT_MS = 2600.0
-STOP_MARGIN_MS = 400.0  # Between the last answer and the kill.
 
 
 class Gateway:
@@ -155,7 +152,8 @@
         self._usual_deadlines = {}
         self._servers = []
         self._started_ms = clock.now_ms()
-        self._stopping = False
+        self._serving = set()
+        self._stop_asked_ms = None
         self._rejecting = False
         self._stop = asyncio.Event()
         self._tasks = ProcessTasks(on_failure=self._stop.set)
@@ -168,7 +166,19 @@
 
     def is_stopping(self):
         """Return whether the process has been asked to stop."""
-        return self._stopping
+        return self._stop_asked_ms is not None
+
+    def check_passing(self):
+        """Check that requests may still be passed on that have not run.
+
+        Raises:
+            StoppingError: This gateway stops soon. The caller can retry at once at
+                another one.
+        """
+        if self._rejecting:
+            raise StoppingError(
+                "this gateway is stopping", retry_after_ms=RETRY_ELSEWHERE_MS
+            )
 
     def admission_queue(self, service):
         """Return the ``AdmissionQueue`` of ``service``."""
@@ -239,16 +249,14 @@
                 on to the caller.
             SendError: The answer was begun and cannot be finished.
         """
-        # The caller can retry at once at another gateway.
-        if self._rejecting:
-            raise StoppingError(
-                "this gateway is stopping", retry_after_ms=RETRY_ELSEWHERE_MS
-            )
+        self.check_passing()
         admitted = self._admit(call)
         self._check_content(admitted, ran=Ran.NOT_RUN)
         started_ms = self.clock.now_ms()
+        attempts = Attempts(gateway=self, admitted=admitted, answer=answer)
+        self._serving.add(attempts)
         try:
-            await Attempts(gateway=self, admitted=admitted, answer=answer).run()
+            await attempts.run()
         except FailedAnswerError:
             # The caller gets the target's whole answer.
             self._record_time(admitted, started_ms)
@@ -259,6 +267,8 @@
         except SendError:
             self.metrics.count("broken", label=admitted.route.kind.value)
             raise
+        finally:
+            self._serving.discard(attempts)
         self._record_time(admitted, started_ms)
 
     def _record_time(self, admitted, started_ms):
@@ -403,7 +413,7 @@
         )
 
     def _ready(self):
-        if self._stopping or self.published.table is None:
+        if self.is_stopping() or self.published.table is None:
             return False
         if not self.settings.strict_keys:
             return True
@@ -459,7 +469,8 @@
 
     def _begin_stop(self):
         log.info("stop requested", extra={"open": self._caller_server.open_count})
-        self._stopping = True
+        if self._stop_asked_ms is None:
+            self._stop_asked_ms = self.clock.now_ms()
         self._stop.set()
 
     def _reload(self):
@@ -482,14 +493,17 @@
 
     async def _finish(self):
         """Accept requests until the platform sends no more, then finish them."""
-        end_ms = (
-            self.clock.now_ms()
-            + self.settings.stop_limit_s * MS_PER_SECOND
-            - STOP_MARGIN_MS
+        asked_ms = self._stop_asked_ms
+        if asked_ms is None:  # A task failed.
+            asked_ms = self._stop_asked_ms = self.clock.now_ms()
+        times = stop_times(
+            asked_ms=asked_ms, grace_ms=self.settings.stop_limit_s * MS_PER_SECOND
         )
-        await self.clock.sleep_ms(STOP_ACCEPT_MS)
+        await self.clock.sleep_ms(max(0.0, times.pass_until_ms - self.clock.now_ms()))
         self._rejecting = True
-        await self._caller_server.finish(until_ms=end_ms)
+        for attempts in self._serving:
+            attempts.reject_unsent()
+        await self._caller_server.finish(until_ms=times.end_ms)
 
 
 def _copy_limits(settings):
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -189,6 +189,18 @@
         writer.write(answer_bytes(200, headers, self.body))
         return True
 
+    async def _answer_timed(self, request, writer):
+        """Answer after the milliseconds that the path ends with."""
+        headers = self.record_run(request)
+        await asyncio.sleep(int(request.path.rpartition("/")[2]) / MS_PER_SECOND)
+        writer.write(answer_bytes(200, headers, self.body))
+        return True
+
+    async def _answer_timed_shed(self, request, writer):
+        """Reject the request after the milliseconds that the path ends with."""
+        await asyncio.sleep(int(request.path.rpartition("/")[2]) / MS_PER_SECOND)
+        return await self._answer_shed(request, writer)
+
     async def _answer_failing(self, request, writer):
         writer.write(answer_bytes(500, self.record_run(request), self.failure))
         return True
--- /dev/null
+++ b/tests/test_gateway_stop.py
@@ -0,0 +1,169 @@
+"""Tests of requests that a gateway took during the grace of a planned stop."""
+
+import asyncio
+import os
+import signal
+from dataclasses import dataclass
+
+import aiohttp
+
+from .support.gateway import GatewayFixture, configuration, standard_routes
+from .support.loop_case import LoopCase
+
+GRACE_S = 8.0
+LONG_TIMEOUT_MS = 30_000
+SLOTS_COUNT = 6  # Of one worker.
+
+
+@dataclass(frozen=True, kw_only=True)
+class Outcome:
+    """How a request ended.
+
+    Args:
+        status: Status of its answer; ``None`` if the connection ended without one.
+        is_whole: Whether the whole answer arrived.
+        retry_after: Its ``Retry-After``, or ``None``.
+        is_run: Whether a worker ran the request.
+        ended_s: When it ended, in seconds after the signal.
+    """
+
+    status: int | None
+    is_whole: bool
+    retry_after: str | None
+    is_run: bool
+    ended_s: float
+
+
+def long_routes():
+    """Return the standard routes with time-outs above the grace."""
+    return [{**route, "timeout-ms": LONG_TIMEOUT_MS} for route in standard_routes()]
+
+
+class StopCase(LoopCase):
+    async def fixture(self, *behaviours, **settings):
+        fixture = GatewayFixture(behaviours=behaviours, **settings)
+        await self.enterAsyncContext(fixture.open())
+        fixture.store.put("op/config", configuration(version=2, routes=long_routes()))
+        async with asyncio.timeout(5.0):
+            while fixture.gateway.published.table.configuration.version != 2:
+                await asyncio.sleep(0.01)
+        for worker in fixture.workers:
+            worker.body = b"id: 1\ndata: the whole answer\n\n"  # Also a whole stream.
+        self.stopped_s = None
+        self.tasks = []
+        return fixture
+
+    def now_s(self):
+        return asyncio.get_running_loop().time()
+
+    def stop(self, fixture):
+        """Ask the gateway to stop, with the signal of the platform."""
+        os.kill(os.getpid(), signal.SIGTERM)
+        self.stopped_s = self.now_s()
+
+    async def _ended(self, fixture, path, request_id):
+        status = body = retry_after = None
+        try:
+            status, headers, body = await fixture.call(path, request_id=request_id)
+            retry_after = headers.get("Retry-After")
+        except (aiohttp.ClientError, ConnectionError):
+            pass
+        return Outcome(
+            status=status,
+            is_whole=body is not None,
+            retry_after=retry_after,
+            is_run=fixture.runs_count(request_id) > 0,
+            ended_s=self.now_s() - self.stopped_s,
+        )
+
+    def send(self, fixture, path):
+        """Begin a request; ``outcomes`` returns how it ended."""
+        request_id = f"r-{len(self.tasks)}"
+        task = asyncio.create_task(self._ended(fixture, path, request_id))
+        self.tasks.append(task)
+
+    async def outcomes(self, fixture):
+        """Return the outcomes of all requests, and wait for the gateway's end."""
+        async with asyncio.timeout(GRACE_S + 4.0):
+            outcomes = await asyncio.gather(*self.tasks)
+            await fixture.task
+        self.assertLess(self.now_s() - self.stopped_s, GRACE_S)
+        return outcomes
+
+    def assert_answered(self, outcome):
+        self.assertIsNotNone(outcome.status, outcome)
+        self.assertTrue(outcome.is_whole, outcome)
+        if outcome.status == 503:
+            self.assertFalse(outcome.is_run, outcome)
+            self.assertIsNotNone(outcome.retry_after, outcome)
+
+
+class UnsentRequestTests(StopCase):
+    """Requests were passed on too late to be answered, and cut off unanswered."""
+
+    async def test_a_request_that_waits_for_a_slot_is_rejected(self):
+        fixture = await self.fixture("timed")
+        for path in ("/unsafe/5000", "/safe/5000") * (SLOTS_COUNT // 2):
+            self.send(fixture, path)
+        async with asyncio.timeout(2.0):
+            while len(fixture.workers[0].runs) < SLOTS_COUNT:
+                await asyncio.sleep(0.01)
+        self.stop(fixture)
+        await asyncio.sleep(0.5)
+        for path in ("/unsafe/4000", "/safe/4000", "/once/4000"):
+            self.send(fixture, path)
+        outcomes = await self.outcomes(fixture)
+        for outcome in outcomes[:SLOTS_COUNT]:
+            self.assertEqual(outcome.status, 200, outcome)
+        for outcome in outcomes[SLOTS_COUNT:]:
+            with self.subTest(outcome):
+                self.assert_answered(outcome)
+                self.assertEqual(outcome.status, 503)
+                self.assertLess(outcome.ended_s, 3.5)
+
+    async def test_a_request_that_a_target_rejected_late_is_not_sent_on(self):
+        fixture = await self.fixture("timed_shed", "timed_shed")
+        self.send(fixture, "/unsafe/4500")
+        async with asyncio.timeout(2.0):
+            while not any(worker.requests for worker in fixture.workers):
+                await asyncio.sleep(0.01)
+        for worker in fixture.workers:
+            worker.behaviour = "timed"
+        self.stop(fixture)
+        (outcome,) = await self.outcomes(fixture)
+        self.assert_answered(outcome)
+        self.assertEqual(outcome.status, 503)
+
+
+class EveryMomentTests(StopCase):
+    """Requests at every moment of the grace, of up to 5 s, while settings change."""
+
+    async def test_every_request_is_answered_or_was_not_run(self):
+        fixture = await self.fixture("timed", "timed", "stream")
+        for number in range(10):
+            await fixture.call("/safe/100", request_id=f"usual-{number}")
+        self.stop(fixture)
+        version = 2
+        refused_count = 0
+        for step in range(70):
+            kind = ("safe", "unsafe", "once", "stream")[step % 4]
+            if self.now_s() - self.stopped_s > 7.0:
+                break
+            duration_ms = 5000 if step % 8 < 2 else 100
+            self.send(fixture, f"/{kind}/{duration_ms}")
+            if step % 10 == 5:
+                os.kill(os.getpid(), signal.SIGHUP)
+                version += 1
+                fixture.store.put(
+                    "op/config", configuration(version=version, routes=long_routes())
+                )
+            await asyncio.sleep(0.1)
+        for outcome in await self.outcomes(fixture):
+            with self.subTest(outcome):
+                if outcome.status is None and not outcome.is_run:
+                    # Its connection was refused or closed unread: the listener ends
+                    # once nothing is left to answer.
+                    refused_count += 1
+                    continue
+                self.assert_answered(outcome)
+        self.assertLess(refused_count, 30)
