Answer what still waits at the end of a planned stop

Requests whose target was slower than the grace (usual answers of 0.1 s, then 20 s) ended with a closed connection and no answer when the gateway ended.

Cause: a stopping gateway waited for them until 0.4 s before the kill, and then closed every connection.

Ruled out: ending them sooner. Targets have the same time as before, as a target's silence is no reason to end an answer earlier.

Change: 0.4 s before the kill, requests without an answer get the gateway's own (504, or the error answer of an earlier send), and streams are broken off by a reset. The process ends 0.2 s later.

Evidence: before the change test_a_request_that_outlasts_the_grace_gets_an_answer failed: the safe and the unsafe request ended 7.62 s after SIGTERM with no answer. The new test of streams states what held before.

--- a/src/waxwinghold/_decisions/stopping.py
+++ b/src/waxwinghold/_decisions/stopping.py
@@ -12,7 +12,10 @@
 ACCEPT_LIMIT_MS = 2600.0
 # The rest of the grace is for the answers of what was passed on.
 ACCEPT_SHARE = 1 / 3
-STOP_MARGIN_MS = 400.0  # Between the last answer and the kill.
+# Between the last answer of a target and the kill; the gateway's own answers to the
+# other requests are written in the first part of it.
+ANSWER_MARGIN_MS = 400.0
+END_MARGIN_MS = 200.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -22,10 +25,12 @@
     Args:
         pass_until_ms: Until when requests are taken, and passed on to targets unless
             they may have run already.
+        answer_until_ms: When requests that have no answer get the gateway's own.
         end_ms: When the process ends in any case.
     """
 
     pass_until_ms: float
+    answer_until_ms: float
     end_ms: float
 
 
@@ -36,7 +41,9 @@
         asked_ms: When the process was asked to stop.
         grace_ms: Time from then until it is killed.
     """
+    pass_ms = min(ACCEPT_LIMIT_MS, ACCEPT_SHARE * grace_ms)
     return StopTimes(
-        pass_until_ms=asked_ms + min(ACCEPT_LIMIT_MS, ACCEPT_SHARE * grace_ms),
-        end_ms=asked_ms + max(0.0, grace_ms - STOP_MARGIN_MS),
+        pass_until_ms=asked_ms + pass_ms,
+        answer_until_ms=asked_ms + max(pass_ms, grace_ms - ANSWER_MARGIN_MS),
+        end_ms=asked_ms + max(pass_ms, grace_ms - END_MARGIN_MS),
     )
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -112,6 +112,7 @@
         self._failure = None
         self._progress = AnswerProgress(last_event_id=admitted.call.last_event_id)
         self._running = []
+        self._is_ended = False
         self._changed = asyncio.Event()
         self._hedge = Hedge(gateway=gateway, admitted=admitted, on_due=self._send_copy)
 
@@ -133,6 +134,9 @@
             while True:
                 if not await self._wait_for_change():
                     await self._end_overdue()
+                elif self._is_ended and not self._progress.is_complete:
+                    await self._cancel_sends()
+                    self._failure = SilentTargetError("no answer until the stop's end")
                 if self._check_ended():
                     return
                 self._join_stuck_sends()
@@ -158,6 +162,14 @@
             for send in self._running:
                 send.task.cancel()
 
+    def end(self):
+        """End the request with an answer of the gateway's own, or break its stream off.
+
+        An answer that is complete is still passed on.
+        """
+        self._is_ended = True
+        self._changed.set()
+
     async def _wait_for_change(self):
         """Wait until a send has ended or is stuck, and return whether one has or is.
 
@@ -532,7 +544,7 @@
         )
 
     def _may_send_again(self, failure):
-        if not self._may_run_again(
+        if self._is_ended or not self._may_run_again(
             runs_count=self._ran_count, may_have_run=self._ran is not Ran.NOT_RUN
         ):
             return False
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -503,6 +503,9 @@
         self._rejecting = True
         for attempts in self._serving:
             attempts.reject_unsent()
+        await self._caller_server.finish(until_ms=times.answer_until_ms)
+        for attempts in self._serving:
+            attempts.end()
         await self._caller_server.finish(until_ms=times.end_ms)
 
 
--- a/tests/test_decisions_stopping.py
+++ b/tests/test_decisions_stopping.py
@@ -24,9 +24,20 @@
         times = stop_times(asked_ms=ASKED_MS, grace_ms=8000.0)
         self.assertGreater(times.pass_until_ms - ASKED_MS, UNREADY_MS)
         # Requests of up to 5 s are answered.
-        self.assertGreaterEqual(times.end_ms - times.pass_until_ms, 5000.0)
+        self.assertGreaterEqual(times.answer_until_ms - times.pass_until_ms, 5000.0)
 
     def test_the_process_ends_before_it_is_killed(self):
         for grace_ms in GRACES_MS[1:]:
             times = stop_times(asked_ms=ASKED_MS, grace_ms=grace_ms)
             self.assertLess(times.end_ms, ASKED_MS + grace_ms)
+
+    def test_the_steps_are_in_order(self):
+        for grace_ms in GRACES_MS:
+            times = stop_times(asked_ms=ASKED_MS, grace_ms=grace_ms)
+            self.assertLessEqual(times.pass_until_ms, times.answer_until_ms)
+            self.assertLessEqual(times.answer_until_ms, times.end_ms)
+
+    def test_there_is_time_to_write_the_last_answers(self):
+        for grace_ms in GRACES_MS[3:]:
+            times = stop_times(asked_ms=ASKED_MS, grace_ms=grace_ms)
+            self.assertGreaterEqual(times.end_ms - times.answer_until_ms, 100.0)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -135,6 +135,37 @@
         self.assertEqual(outcome.status, 503)
 
 
+class SlowRequestTests(StopCase):
+    """Requests at targets that had become slow ended without an answer."""
+
+    async def test_a_request_that_outlasts_the_grace_gets_an_answer(self):
+        fixture = await self.fixture("timed")
+        for number in range(5):
+            await fixture.call("/safe/100", request_id=f"usual-{number}")
+        self.stop(fixture)
+        for path in ("/safe/20000", "/unsafe/20000", "/once/20000"):
+            self.send(fixture, path)
+        outcomes = await self.outcomes(fixture)
+        for outcome in outcomes:
+            with self.subTest(outcome):
+                self.assert_answered(outcome)
+        for outcome in outcomes[:2]:
+            self.assertEqual((outcome.status, outcome.is_run), (504, True))
+            # The target had nearly all the time that there was.
+            self.assertGreater(outcome.ended_s, 7.0)
+
+    async def test_a_stream_that_outlasts_the_grace_does_not_look_whole(self):
+        fixture = await self.fixture("stream")
+        fixture.workers[0].event_ms = 1500.0
+        fixture.workers[0].events_count = 10
+        self.stop(fixture)
+        for path in ("/stream/a", "/once/a"):
+            self.send(fixture, path)
+        for outcome in await self.outcomes(fixture):
+            self.assertEqual((outcome.status, outcome.is_whole), (200, False))
+            self.assertGreater(outcome.ended_s, 7.0)
+
+
 class EveryMomentTests(StopCase):
     """Requests at every moment of the grace, of up to 5 s, while settings change."""
 
