Answer requests sent ahead on a connection to a stopping gateway

A caller that had sent several requests on one connection got an answer to the first one only while its gateway stopped. The others had been read and were dropped without an answer.

Cause: a stopping gateway closes each connection behind an answer, also when it has read a further request on it.

Change: the connection is closed behind the last request that was read.

Evidence: before the change test_requests_sent_ahead_on_one_connection_are_answered got one answer of three.

--- a/src/waxwinghold/_gateway/caller_server.py
+++ b/src/waxwinghold/_gateway/caller_server.py
@@ -148,7 +148,11 @@
         connection = request.protocol
         arrived_ms = self._clock.now_ms()
         connection.begin_request(request)
-        answer = CallerAnswer(request=request, closing=self._gateway.is_stopping)
+        answer = CallerAnswer(
+            request=request,
+            # Requests sent ahead on the connection are answered, too.
+            closing=lambda: self._gateway.is_stopping() and not connection.is_read,
+        )
         try:
             await self._serve(request, answer, arrived_ms)
         except ConnectionError as error:
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -7,7 +7,7 @@
 
 import aiohttp
 
-from .support.gateway import GatewayFixture, configuration, standard_routes
+from .support.gateway import HOST, KEY, GatewayFixture, configuration, standard_routes
 from .support.loop_case import LoopCase
 
 GRACE_S = 8.0
@@ -198,3 +198,34 @@
                     continue
                 self.assert_answered(outcome)
         self.assertLess(refused_count, 30)
+
+
+class SentAheadTests(StopCase):
+    """Requests sent ahead on a connection were dropped behind a stop's last answer."""
+
+    async def answer_heads(self, fixture, *, separately):
+        """Return the heads of the answers to three requests on one connection."""
+        requests = [
+            f"GET /safe/200 HTTP/1.1\r\nHost: {HOST}\r\nCredential: {KEY}\r\n"
+            f"Attempt-Id: r-{number}\r\n\r\n".encode()
+            for number in range(3)
+        ]
+        reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
+        self.addCleanup(writer.close)
+        for data in requests if separately else [b"".join(requests)]:
+            writer.write(data)
+            await asyncio.sleep(0.02)
+        async with asyncio.timeout(GRACE_S):
+            data = await reader.read()
+        return data.split(b"HTTP/1.1 ")[1:]
+
+    async def test_requests_sent_ahead_on_one_connection_are_answered(self):
+        fixture = await self.fixture("timed")
+        self.stop(fixture)
+        await asyncio.sleep(0.1)
+        for separately in (False, True):
+            with self.subTest(separately=separately):
+                heads = await self.answer_heads(fixture, separately=separately)
+                self.assertEqual([head[:3] for head in heads], [b"200"] * 3, heads)
+                closes = [b"connection: close" in head.lower() for head in heads]
+                self.assertEqual(closes, [False, False, True])
