Count a connection with a request sent ahead as busy

A stopping gateway could close a connection as idle between the answer to one request and the next one, which had arrived together with it and was dropped unanswered. Without a stop, a new connection beyond the limit could replace it in the same way.

Cause: at the end of a request, a connection was idle unless bytes had arrived after that request had been read.

Change: a connection on which the head of a further request was read is not idle.

Evidence: test_a_connection_with_a_request_sent_ahead_is_not_idle closes idle connections at the end of each request; before the change it got one answer of three.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -235,6 +235,9 @@
         self._content = None
         self.requested_ms, self._next_requested_ms = self._next_requested_ms, None
         self.idle_since_ms = self._clock.now_ms()
+        if self.requested_ms is None and self.is_read:
+            # The next request arrived together with this one.
+            self.requested_ms = self.idle_since_ms
         if self.requested_ms is None and self.transport is not None:
             self._owner.record_idle(self)
 
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -3,10 +3,13 @@
 import asyncio
 import os
 import signal
+import unittest.mock
 from dataclasses import dataclass
 
 import aiohttp
 
+from waxwinghold._caller_connections import CallerConnection
+
 from .support.gateway import HOST, KEY, GatewayFixture, configuration, standard_routes
 from .support.loop_case import LoopCase
 
@@ -229,3 +232,17 @@
                 self.assertEqual([head[:3] for head in heads], [b"200"] * 3, heads)
                 closes = [b"connection: close" in head.lower() for head in heads]
                 self.assertEqual(closes, [False, False, True])
+
+    async def test_a_connection_with_a_request_sent_ahead_is_not_idle(self):
+        fixture = await self.fixture("timed")
+        end_request = CallerConnection.end_request
+
+        def end_and_close_idle(connection):
+            end_request(connection)
+            fixture.gateway._caller_server._connections.close_idle()
+
+        with unittest.mock.patch.object(
+            CallerConnection, "end_request", end_and_close_idle
+        ):
+            heads = await self.answer_heads(fixture, separately=False)
+        self.assertEqual([head[:3] for head in heads], [b"200"] * 3, heads)
