Reject requests that usually outlast the rest of a planned stop

Requests of a route whose answers usually take longer than the rest of the grace were passed on during a planned stop, and ended without the target's answer. They could have been refused at once: another gateway serves them.

Cause: until it rejects all requests, a stopping gateway took every one.

Change: a gateway measures how long the requests of each route take (mean and mean deviation). While it stops, it answers 503 with Retry-After to a request that has not run and that would usually end later than the gateway's last answers, unless the request's own time ends before.

--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -156,7 +156,7 @@
         if any(send.target is not None for send in self._running):
             return
         try:
-            self._gateway.check_passing()
+            self._gateway.check_passing(self._admitted)
         except StoppingError as error:
             self._failure = error
             for send in self._running:
@@ -388,7 +388,7 @@
 
     async def _acquire_slot(self):
         if self._ran is Ran.NOT_RUN:
-            self._gateway.check_passing()
+            self._gateway.check_passing(self._admitted)
         self._gateway.check_sendable(self._admitted)
         call, route = self._call, self._route
         now_ms = self._clock.now_ms()
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -10,7 +10,7 @@
 from .._decisions.crash_suspects import CrashSuspects, RequestContent
 from .._decisions.retry_budget import budget_policy
 from .._decisions.second_copies import SecondCopies
-from .._decisions.stopping import stop_times
+from .._decisions.stopping import UsualDuration, stop_times
 from .._decisions.target_choice import Turns, target_policy
 from .._decisions.waiting import UsualDeadline, queue_policy
 from .._metrics import Metrics, metrics_response
@@ -153,7 +153,8 @@
         self._servers = []
         self._started_ms = clock.now_ms()
         self._serving = set()
-        self._stop_asked_ms = None
+        self._usual_durations = {}
+        self._stop_times = None
         self._rejecting = False
         self._stop = asyncio.Event()
         self._tasks = ProcessTasks(on_failure=self._stop.set)
@@ -166,19 +167,23 @@
 
     def is_stopping(self):
         """Return whether the process has been asked to stop."""
-        return self._stop_asked_ms is not None
+        return self._stop_times is not None
 
-    def check_passing(self):
-        """Check that requests may still be passed on that have not run.
+    def check_passing(self, admitted):
+        """Check that a request that has not run may still be passed on.
 
         Raises:
             StoppingError: This gateway stops soon. The caller can retry at once at
                 another one.
         """
-        if self._rejecting:
-            raise StoppingError(
-                "this gateway is stopping", retry_after_ms=RETRY_ELSEWHERE_MS
-            )
+        if self._stop_times is None:
+            return
+        if self._rejecting or not self._stop_times.may_pass(
+            now_ms=self.clock.now_ms(),
+            usual_ms=self._usual_duration(admitted.route).usual_ms,
+            request_end_ms=admitted.end_ms,
+        ):
+            raise _stopping_error()
 
     def admission_queue(self, service):
         """Return the ``AdmissionQueue`` of ``service``."""
@@ -249,8 +254,10 @@
                 on to the caller.
             SendError: The answer was begun and cannot be finished.
         """
-        self.check_passing()
+        if self._rejecting:
+            raise _stopping_error()
         admitted = self._admit(call)
+        self.check_passing(admitted)
         self._check_content(admitted, ran=Ran.NOT_RUN)
         started_ms = self.clock.now_ms()
         attempts = Attempts(gateway=self, admitted=admitted, answer=answer)
@@ -272,11 +279,9 @@
         self._record_time(admitted, started_ms)
 
     def _record_time(self, admitted, started_ms):
-        self.metrics.record_ms(
-            "request",
-            self.clock.now_ms() - started_ms,
-            label=admitted.route.kind.value,
-        )
+        duration_ms = self.clock.now_ms() - started_ms
+        self._usual_duration(admitted.route).record(duration_ms)
+        self.metrics.record_ms("request", duration_ms, label=admitted.route.kind.value)
 
     def check_sendable(self, admitted):
         """Check the request again just before a send.
@@ -362,6 +367,10 @@
             deadline = self._usual_deadlines[key] = UsualDeadline()
         return deadline
 
+    def _usual_duration(self, route):
+        """Return the ``UsualDuration`` of the requests of a route."""
+        return self._usual_durations.setdefault(route.name, UsualDuration())
+
     def _check_fresh(self):
         if self.settings.strict_keys and self.published.age_ms > self._age_limit_ms:
             raise UnconfiguredError(
@@ -469,10 +478,16 @@
 
     def _begin_stop(self):
         log.info("stop requested", extra={"open": self._caller_server.open_count})
-        if self._stop_asked_ms is None:
-            self._stop_asked_ms = self.clock.now_ms()
+        self._set_stop_times()
         self._stop.set()
 
+    def _set_stop_times(self):
+        if self._stop_times is None:
+            self._stop_times = stop_times(
+                asked_ms=self.clock.now_ms(),
+                grace_ms=self.settings.stop_limit_s * MS_PER_SECOND,
+            )
+
     def _reload(self):
         """Apply the changed settings, and start new retry budgets with them."""
         if self._settings_file is None:
@@ -493,12 +508,8 @@
 
     async def _finish(self):
         """Accept requests until the platform sends no more, then finish them."""
-        asked_ms = self._stop_asked_ms
-        if asked_ms is None:  # A task failed.
-            asked_ms = self._stop_asked_ms = self.clock.now_ms()
-        times = stop_times(
-            asked_ms=asked_ms, grace_ms=self.settings.stop_limit_s * MS_PER_SECOND
-        )
+        self._set_stop_times()  # Without a signal, a task failed.
+        times = self._stop_times
         await self.clock.sleep_ms(max(0.0, times.pass_until_ms - self.clock.now_ms()))
         self._rejecting = True
         for attempts in self._serving:
@@ -509,6 +520,10 @@
         await self._caller_server.finish(until_ms=times.end_ms)
 
 
+def _stopping_error():
+    return StoppingError("this gateway is stopping", retry_after_ms=RETRY_ELSEWHERE_MS)
+
+
 def _copy_limits(settings):
     """Return the ``CopyLimits`` of a gateway with the ``GatewaySettings``."""
     return copy_limits(
--- a/tests/test_decisions_stopping.py
+++ b/tests/test_decisions_stopping.py
@@ -2,7 +2,7 @@
 
 import unittest
 
-from waxwinghold._decisions.stopping import stop_times
+from waxwinghold._decisions.stopping import UsualDuration, stop_times
 
 ASKED_MS = 1000.0
 GRACES_MS = (0.0, 300.0, 1000.0, 3000.0, 8000.0, 30_000.0, 600_000.0)
@@ -41,3 +41,49 @@
         for grace_ms in GRACES_MS[3:]:
             times = stop_times(asked_ms=ASKED_MS, grace_ms=grace_ms)
             self.assertGreaterEqual(times.end_ms - times.answer_until_ms, 100.0)
+
+
+class MayPassTests(unittest.TestCase):
+    """Requests that usually outlast the grace were passed on and cut at its end."""
+
+    times = stop_times(asked_ms=ASKED_MS, grace_ms=8000.0)
+
+    def may_pass(self, *, after_ms, usual_ms, timeout_ms=30_000.0):
+        now_ms = ASKED_MS + after_ms
+        return self.times.may_pass(
+            now_ms=now_ms, usual_ms=usual_ms, request_end_ms=now_ms + timeout_ms
+        )
+
+    def test_short_requests_are_passed_on_until_new_ones_are_rejected(self):
+        for after_ms, expected in ((0, True), (2500, True), (2600, False)):
+            for usual_ms in (0.0, 100.0, 5000.0):
+                self.assertIs(
+                    self.may_pass(after_ms=after_ms, usual_ms=usual_ms), expected
+                )
+
+    def test_a_request_that_usually_outlasts_the_grace_is_not_passed_on(self):
+        self.assertTrue(self.may_pass(after_ms=0, usual_ms=7000.0))
+        self.assertFalse(self.may_pass(after_ms=0, usual_ms=8000.0))
+        self.assertFalse(self.may_pass(after_ms=1000, usual_ms=7000.0))
+
+    def test_a_request_that_its_own_time_out_ends_before_is_passed_on(self):
+        self.assertTrue(
+            self.may_pass(after_ms=1000, usual_ms=7000.0, timeout_ms=5000.0)
+        )
+
+
+class UsualDurationTests(unittest.TestCase):
+    def test_it_follows_what_requests_take_now(self):
+        duration = UsualDuration()
+        self.assertEqual(duration.usual_ms, 0.0)
+        duration.record(100.0)
+        self.assertEqual(duration.usual_ms, 100.0)
+        for _ in range(100):
+            duration.record(5000.0)
+        self.assertAlmostEqual(duration.usual_ms, 5000.0, delta=10.0)
+
+    def test_it_is_above_the_mean_of_durations_that_differ(self):
+        duration = UsualDuration()
+        for number in range(200):
+            duration.record(1000.0 + 4000.0 * (number % 2))
+        self.assertGreater(duration.usual_ms, 4000.0)
--- a/tests/test_gateway_stop.py
+++ b/tests/test_gateway_stop.py
@@ -169,6 +169,28 @@
             self.assertGreater(outcome.ended_s, 7.0)
 
 
+class UsuallyLongRequestTests(StopCase):
+    """Requests that usually outlast the grace were passed on and cut at its end."""
+
+    async def test_they_are_rejected_and_the_others_are_answered(self):
+        fixture = await self.fixture("timed", stop_limit_s=3.0)
+        calls = [
+            fixture.call(path, request_id=f"usual-{number}")
+            for number, path in enumerate(["/unsafe/2800"] * 3 + ["/safe/100"] * 3)
+        ]
+        for status, _, _ in await asyncio.gather(*calls):
+            self.assertEqual(status, 200)
+        self.stop(fixture)
+        await asyncio.sleep(0.1)
+        for path in ("/unsafe/2800", "/safe/100"):
+            self.send(fixture, path)
+        long, short = await self.outcomes(fixture)
+        self.assert_answered(long)
+        self.assertEqual(long.status, 503)
+        self.assertLess(long.ended_s, 0.5)
+        self.assertEqual(short.status, 200)
+
+
 class EveryMomentTests(StopCase):
     """Requests at every moment of the grace, of up to 5 s, while settings change."""
 
