Move the account of the callers' memory into a module of its own

No decision is changed: CallersMemory has the account and its limit, ReceivedBytes counts what a connection has received, and CallerConnections keeps the connections.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -1,21 +1,15 @@
 """Callers' connections to a gateway or an entry, and the limits on them."""
 
 import asyncio
-import gc
 import resource
 import socket
-from collections import deque
 from dataclasses import dataclass
 
 import logbook
 from aiohttp import web
 
-from ._decisions.held_memory import (
-    LIMIT_BYTES,
-    SMALL_BYTES,
-    Holder,
-    holders_to_reset,
-)
+from ._callers_memory import CallersMemory, ReceivedBytes
+from ._decisions.held_memory import SMALL_BYTES, Holder
 from ._memory import return_large_blocks
 
 log = logbook.Logger("caller_connections")
@@ -35,10 +29,6 @@
 # stop for a moment at each request.
 QUEUED_REQUESTS_COUNT = 2
 QUEUED_REQUEST_BYTES = 4 * 1024  # Memory of a parsed head beside its content.
-# Memory is checked after this growth, or once in a sweep.
-UNCHECKED_LIMIT_BYTES = 2 * 1024 * 1024
-# Whatever the limit of the memory, it has room for this many of the longest bodies.
-LONGEST_BODIES_COUNT = 2
 LOG_INTERVAL_MS = 1000.0
 # A caller that reads slowly takes the system's buffer of several MB in steps.
 UNREAD_LIMIT_MS = 60_000.0
@@ -110,8 +100,7 @@
         self._next_requested_ms = None
         self._unread_bytes = 0
         self._unread_since_ms = None
-        # ``[number of a request, bytes]`` of what was received and is not served yet.
-        self._received = deque()
+        self._received = ReceivedBytes()
         self._held_since_ms = None
         self.waiting_bytes = None
         # ``aiohttp`` would read 32 requests ahead, with their bodies.
@@ -152,14 +141,9 @@
         )
 
     def _record_received(self, number, size_bytes):
-        """Record what was received of the request ``number``, or up to it."""
-        if not size_bytes:
-            return
-        if self._received and self._received[-1][0] == number:
-            self._received[-1][1] += size_bytes
-        else:
-            self._received.append([number, size_bytes])
-        self._owner.record_growth(size_bytes)
+        if size_bytes:
+            self._received.add(number, size_bytes)
+            self._owner.memory.record_growth(size_bytes)
 
     def record_waiting(self, waiting_bytes):
         """Record what waits to be written, until the request was answered.
@@ -168,12 +152,18 @@
             waiting_bytes: Returns its size now.
         """
         self.waiting_bytes = waiting_bytes
-        self._owner.record_growth(waiting_bytes())
+        self._owner.memory.record_growth(waiting_bytes())
+
+    @property
+    def caller_name(self):
+        """The caller's address as ``ip:port``, or ``None`` if it is unknown."""
+        address = self.transport.get_extra_info("peername")
+        return "{}:{}".format(*address[:2]) if address else None
 
     @property
     def held_bytes(self):
         """The memory that the caller takes by what it sent and has not read."""
-        size_bytes = sum(size_bytes for _, size_bytes in self._received)
+        size_bytes = self._received.total_bytes
         if self.waiting_bytes is not None:
             size_bytes += self.waiting_bytes()
         if self.transport is not None:
@@ -205,11 +195,10 @@
     def _refuse_head(self):
         if self.transport is None or self.transport.is_closing():
             return
-        address = self.transport.get_extra_info("peername")
         log.warn(
             "head of a request too long, connection reset",
             extra={
-                "caller": "{}:{}".format(*address[:2]) if address else None,
+                "caller": self.caller_name,
                 "limit": f"{UNFINISHED_HEAD_LIMIT_BYTES} bytes",
             },
         )
@@ -228,9 +217,7 @@
     def end_request(self):
         """Record that the request was answered."""
         self.waiting_bytes = None
-        served_number = self._request_count - len(self._messages)
-        while self._received and self._received[0][0] <= served_number:
-            self._received.popleft()
+        self._received.release(self._request_count - len(self._messages))
         self.is_served = False
         self._content = None
         self.requested_ms, self._next_requested_ms = self._next_requested_ms, None
@@ -298,13 +285,12 @@
             read. A body that is passed on with its headers must not be.
         count_limit: Highest number of connections; by default a share of the
             process's descriptors.
-        memory_limit_bytes: Returns the memory that all callers together may hold; the
-            worst holders beyond it are reset.
-        body_limit_bytes: Returns the longest body of a request.
+        memory_limits: Arguments ``limit_bytes`` and ``body_limit_bytes`` of the
+            ``CallersMemory``.
 
     Attributes:
+        memory: The ``CallersMemory`` of the connections.
         opened_count: Connections that were accepted so far.
-        reset_for_memory_count: Connections that were reset for their memory so far.
     """
 
     def __init__(
@@ -315,14 +301,13 @@
         head_line_limit_bytes=HEAD_LINE_LIMIT_BYTES,
         decodes_bodies=True,
         count_limit=None,
-        memory_limit_bytes=lambda: LIMIT_BYTES,
-        body_limit_bytes=lambda: 0,
+        **memory_limits,
     ):
-        self._memory_limit_bytes = memory_limit_bytes
-        self._body_limit_bytes = body_limit_bytes
-        self._unchecked_bytes = 0
-        self.reset_for_memory_count = 0
-        self._collected_count = 0
+        self.memory = CallersMemory(
+            connections=lambda: self._open,
+            reset=self._reset_for_memory,
+            **memory_limits,
+        )
         self._clock = clock
         self._limits = limits
         self._head_line_limit_bytes = head_line_limit_bytes
@@ -384,8 +369,7 @@
             await self._clock.sleep_ms(SWEEP_INTERVAL_MS)
             self.close_expired(self._limits())
             self.reset_unread()
-            self.limit_memory([connection.update_holder() for connection in self._open])
-            self._collect_reset()
+            self.memory.sweep()
 
     def close_expired(self, limits):
         """Close the connections that exceed a time limit of ``limits``."""
@@ -405,64 +389,9 @@
                 log.info("caller does not read its answer, connection reset")
                 connection.transport.abort()
 
-    @property
-    def held_bytes(self):
-        """The memory that all callers take by what they sent and have not read."""
-        return sum(connection.held_bytes for connection in self._open)
-
-    def add_gauges(self, metrics):
-        """Register the gauges of the callers' memory in the process's ``Metrics``."""
-        metrics.gauge("callers_held_bytes", lambda: self.held_bytes)
-        metrics.gauge("callers_reset_for_memory", lambda: self.reset_for_memory_count)
-
-    def record_growth(self, size_bytes):
-        """Record that callers hold more memory than at the last check."""
-        self._unchecked_bytes += size_bytes
-        if self._unchecked_bytes > UNCHECKED_LIMIT_BYTES:
-            self._unchecked_bytes = 0
-            if self.held_bytes > self._held_limit_bytes():
-                self.limit_memory(
-                    [connection.update_holder() for connection in self._open]
-                )
-
-    def _held_limit_bytes(self):
-        return max(
-            self._memory_limit_bytes(),
-            LONGEST_BODIES_COUNT * self._body_limit_bytes(),
-        )
-
-    def limit_memory(self, holders):
-        """Reset the worst of ``holders`` while all of them hold too much memory."""
-        limit_bytes = self._held_limit_bytes()
-        for holder in holders_to_reset(holders, limit_bytes=limit_bytes):
-            self._reset_for_memory(holder, limit_bytes)
-
-    def _collect_reset(self):
-        """Free what reset requests have left in reference cycles.
-
-        The collector counts objects and not their bytes: it would run much later.
-        """
-        if self.reset_for_memory_count > self._collected_count:
-            self._collected_count = self.reset_for_memory_count
-            gc.collect()
-
-    def _reset_for_memory(self, holder, limit_bytes):
-        connection = holder.connection
-        if connection.transport is None:
-            return  # It is being closed.
-        self.reset_for_memory_count += 1
+    def _reset_for_memory(self, connection):
         # Its loss is reported later; meanwhile its memory must not count again.
         self.record_closed(connection)
-        address = connection.transport.get_extra_info("peername")
-        log.warn(
-            "callers hold too much memory, connection reset",
-            extra={
-                "caller": "{}:{}".format(*address[:2]) if address else None,
-                "held_bytes": holder.held_bytes,
-                "held_ms": round(holder.held_ms),
-                "limit_bytes": limit_bytes,
-            },
-        )
         connection.transport.abort()
 
     def close_idle(self):
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -76,10 +76,10 @@
         self.connections = CallerConnections(
             clock=clock,
             limits=self._caller_limits,
-            memory_limit_bytes=lambda: settings.callers_memory_limit_bytes,
+            limit_bytes=lambda: settings.callers_memory_limit_bytes,
             body_limit_bytes=lambda: settings.body_limit_bytes,
         )
-        self.connections.add_gauges(self.metrics)
+        self.connections.memory.add_gauges(self.metrics)
         self.store.listen(self._sheet_changed)
         self.replicator.set_expected_peers([peer.name for peer in settings.peers])
 
--- a/src/waxwinghold/_gateway/caller_server.py
+++ b/src/waxwinghold/_gateway/caller_server.py
@@ -105,10 +105,10 @@
             limits=lambda: gateway.limits,
             head_line_limit_bytes=PARSER_LIMIT_BYTES,
             decodes_bodies=False,
-            memory_limit_bytes=lambda: gateway.settings.callers_memory_limit_bytes,
+            limit_bytes=lambda: gateway.settings.callers_memory_limit_bytes,
             body_limit_bytes=lambda: gateway.limits.body_bytes,
         )
-        self._connections.add_gauges(gateway.metrics)
+        self._connections.memory.add_gauges(gateway.metrics)
 
     @property
     def open_count(self):
