Report no reset of an engine's connection that was handled already

The reset is handled as the failure of the call; its future is now marked as read.

test_a_reset_that_was_handled_is_not_reported_by_the_event_loop failed before.

--- a/src/waxwinghold/_agent/target.py
+++ b/src/waxwinghold/_agent/target.py
@@ -410,7 +410,18 @@
 def _closed(response):
     """Return the future of the end of a connection; ``None`` if it has ended."""
     connection = response.connection
-    return connection.protocol.closed if connection else None
+    if connection is None:
+        return None
+    closed = connection.protocol.closed
+    if closed is not None:
+        # Without a reader, a failure would be reported as one that nobody handles.
+        closed.add_done_callback(_retrieve_exception)
+    return closed
+
+
+def _retrieve_exception(future):
+    if not future.cancelled():
+        future.exception()
 
 
 async def _check_end(response, closed):
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -263,6 +263,15 @@
         reset_connection(writer)
         return False
 
+    async def _answer_framed_reset(self, request, writer):
+        """Answer with ``Content-Length`` and reset the connection in the body."""
+        data = answer_bytes(200, self.record_run(request), self.body)
+        writer.write(data[:-5])
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        reset_connection(writer)
+        return False
+
     async def _answer_cut(self, request, writer):
         """End the connection after ``cut_bytes`` bytes of the answer."""
         headers = self.record_run(request)
--- a/tests/test_agent_target.py
+++ b/tests/test_agent_target.py
@@ -1,6 +1,7 @@
 """Tests of the target's client and monitor: crashes, stalled and silent targets."""
 
 import asyncio
+import gc
 import types
 import unittest
 import unittest.mock
@@ -127,6 +128,14 @@
                     async with asyncio.timeout(TIMEOUT_S):
                         await self.client.call(submit())
 
+    async def test_a_reset_that_was_handled_is_not_reported_by_the_event_loop(self):
+        for behaviour in ("unframed_reset", "framed_reset"):
+            with self.subTest(behaviour), self.assertNoLogs("asyncio"):
+                self.target.behaviour = behaviour
+                with self.assertRaises((TargetCrashedError, TargetFailedError)):
+                    await self.client.call(submit())
+                gc.collect()
+
     async def test_a_failure_behind_a_broken_off_success_is_no_success(self):
         self.target.behaviour = "begun_twice"
         for stray_bytes in (b"HTTP/1.1 200 O", b"HTTP/1.1 200 OK\r\nServer-Seal: s"):
