Name the members that asyncio and aiohttp read

test_what_is_assigned_is_read_somewhere failed since the account of callers' memory: it sets the size of a read of asyncio's transport, and two limits of aiohttp's queue of requests, which only these libraries read. The list of such names has them now; the test is as strict for all others.

--- a/tests/test_unused_members.py
+++ b/tests/test_unused_members.py
@@ -6,11 +6,13 @@
 
 ROOT = pathlib.Path(__file__).parents[1]
 PACKAGE = ROOT / "src" / "waxwinghold"
-# Read by Python itself, by logbook or by libzmq.
+# Read by Python itself, by asyncio, aiohttp, logbook or libzmq.
 READ_ELSEWHERE = {
     "__all__",
     "__slots__",
     "__version__",
+    "_max_msg_queue_size",
+    "_msg_queue_resume_size",
     "curve_publickey",
     "curve_secretkey",
     "curve_server",
@@ -18,6 +20,7 @@
     "formatter",
     "handshake_ivl",
     "linger",
+    "max_size",
     "maxmsgsize",
     "reconnect_ivl",
     "router_mandatory",
