Let no long garbage collection fail the test of handled resets

The test forbids all log lines of asyncio, and in the tests asyncio reports each step over 100 ms.

With 2 million lists alive in the process a collection took 0.21 s and the test failed with the same line. The report of slow steps is now switched off in this one test; every other line of asyncio still fails it. Ruled out: a reset that was reported, which is an error line of another text.

--- a/tests/test_agent_target.py
+++ b/tests/test_agent_target.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import gc
+import math
 import types
 import unittest
 import unittest.mock
@@ -129,6 +130,8 @@
                         await self.client.call(submit())
 
     async def test_a_reset_that_was_handled_is_not_reported_by_the_event_loop(self):
+        # Collecting the garbage of a large process is reported as a slow callback.
+        asyncio.get_running_loop().slow_callback_duration = math.inf
         for behaviour in ("unframed_reset", "framed_reset"):
             with self.subTest(behaviour), self.assertNoLogs("asyncio"):
                 self.target.behaviour = behaviour
