Replace the longest unfinished request, too, when connections run out

Cause: beyond the limit of connections a new one replaced the longest idle one. A connection with the first byte of a request counted as busy, so with the beginning of a request on each of them the only idle connection was the new one, and it was closed at once. Clients that reconnect at each time-out keep everyone else out.

Change: a new connection replaces the one that has sent no whole request for longest, idle or not. Those whose request is whole or is being served are kept; nothing of an unfinished request was passed on, so it has not run. A limit of connections by address was ruled out: callers come through the platform's balancer.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -225,8 +225,31 @@
         if self.requested_ms is None and self.is_read:
             # The next request arrived together with this one.
             self.requested_ms = self.idle_since_ms
-        if self.requested_ms is None and self.transport is not None:
+        if self.transport is None:
+            return
+        if self.requested_ms is None:
             self._owner.record_idle(self)
+        else:
+            self._owner.record_busy(self)
+
+    @property
+    def is_receiving(self):
+        """Whether all that the caller has sent is the beginning of a request."""
+        if self.requested_ms is None:
+            return False
+        if self.is_served:
+            return self._content is not None and not self._content.is_eof()
+        if not self.is_read:
+            return True
+        body = self._messages[0][1] if self._messages else self._last_body
+        return not body.is_eof()
+
+    @property
+    def incomplete_since_ms(self):
+        """Since when the caller has sent no whole request, if none is being served."""
+        if self.requested_ms is None:
+            return self.idle_since_ms
+        return self.requested_ms
 
     def is_expired(self, limits):
         """Return whether the caller exceeds a time limit without a whole request.
@@ -273,9 +296,9 @@
 class CallerConnections:
     """Accepts the connections of callers, and closes those that exceed the limits.
 
-    Beyond ``count_limit`` each new connection replaces the one that has been idle for
-    longest. Without descriptors left, the process could neither accept a caller nor
-    reach a target.
+    Beyond ``count_limit`` each new connection replaces the one that has sent no whole
+    request for longest. Without descriptors left, the process could neither accept a
+    caller nor reach a target.
 
     Args:
         limits: Returns the limits in force, with the times ``idle_timeout_ms`` and
@@ -318,7 +341,9 @@
         self._open = set()
         self._closed_count = 0
         self._logged_ms = float("-inf")
-        self._idle = {}  # Ordered: the longest idle connection is the first.
+        # Ordered by time; ``_receiving`` may have some whose request is whole by now.
+        self._idle = {}
+        self._receiving = {}
 
     @property
     def open(self):
@@ -414,23 +439,40 @@
         self._open.add(connection)
         self.record_idle(connection)
         if len(self._open) > self._count_limit:
-            self._close_longest_idle()
+            self._close_for_new()
 
     def record_closed(self, connection):
         """Record that a connection is closed."""
         self._open.discard(connection)
-        self.record_busy(connection)
+        self._idle.pop(connection, None)
+        self._receiving.pop(connection, None)
 
     def record_idle(self, connection):
         """Record that no answer is due on ``connection``."""
+        self._receiving.pop(connection, None)
         self._idle[connection] = None
 
     def record_busy(self, connection):
-        """Record that an answer is due on ``connection``."""
+        """Record that a request begins to arrive on ``connection``."""
         self._idle.pop(connection, None)
-
-    def _close_longest_idle(self):
-        connection = next(iter(self._idle))
+        self._receiving[connection] = None
+
+    def _longest_incomplete(self):
+        """Return the connection that has sent no whole request for longest."""
+        longest_idle = next(iter(self._idle))
+        while self._receiving:
+            receiving = next(iter(self._receiving))
+            if receiving.is_receiving:
+                return min(
+                    longest_idle,
+                    receiving,
+                    key=lambda connection: connection.incomplete_since_ms,
+                )
+            del self._receiving[receiving]
+        return longest_idle
+
+    def _close_for_new(self):
+        connection = self._longest_incomplete()
         self.record_closed(connection)
         connection.close_transport()
         self._closed_count += 1
@@ -438,7 +480,7 @@
         if now_ms - self._logged_ms >= LOG_INTERVAL_MS:
             self._logged_ms = now_ms
             log.warn(
-                "idle connections closed for new ones",
+                "connections without a request closed for new ones",
                 extra={"open": len(self._open), "closed": self._closed_count},
             )
 
--- a/tests/test_callers_limits.py
+++ b/tests/test_callers_limits.py
@@ -75,6 +75,63 @@
             writer.close()
 
 
+class UnfinishedRequestsTests(LoopCase):
+    """Unfinished requests on all connections kept every other caller out."""
+
+    async def open_connections(self, fixture, requests):
+        """Open a connection for each of ``requests``, and send it."""
+        opened = []
+        for request in requests:
+            reader, writer = await asyncio.open_connection("127.0.0.1", fixture.port)
+            self.addCleanup(writer.close)
+            writer.write(request)
+            opened.append((reader, writer))
+            await asyncio.sleep(0.05)
+        return opened
+
+    async def assert_closed(self, reader):
+        async with asyncio.timeout(2.0):
+            self.assertEqual(await read_until_end(reader), b"")
+
+    async def test_an_ordinary_caller_is_served_instead_of_the_oldest_of_them(self):
+        for unfinished in (b"GET /safe/a HTTP/1.1\r\n", request_bytes(1, 10) + b"x"):
+            with self.subTest(unfinished):
+                fixture = GatewayFixture(behaviours=["whole"])
+                async with fixture.open():
+                    connections = fixture.gateway._caller_server._connections
+                    connections._count_limit = 4
+                    opened = await self.open_connections(fixture, [unfinished] * 4)
+                    for _ in range(2):
+                        status, _, _ = await fixture.call("/safe/a", request_id="own")
+                        self.assertEqual(status, 200)
+                    await self.assert_closed(opened[0][0])
+                    self.assertFalse(opened[3][0].at_eof())
+
+    async def test_a_new_connection_is_kept_beside_them(self):
+        fixture = GatewayFixture(behaviours=["whole"])
+        async with fixture.open():
+            fixture.gateway._caller_server._connections._count_limit = 4
+            unfinished = b"GET /safe/a HTTP/1.1\r\n"
+            requests = [unfinished, unfinished, unfinished, b"", unfinished]
+            opened = await self.open_connections(fixture, requests)
+            await self.assert_closed(opened[0][0])
+            reader, writer = opened[3]
+            writer.write(request_bytes(1))
+            async with asyncio.timeout(2.0):
+                self.assertIn(b" 200 ", await reader.readline())
+
+    async def test_a_request_that_is_served_is_kept_beside_them(self):
+        fixture = GatewayFixture(behaviours=["slow"])
+        async with fixture.open():
+            fixture.gateway._caller_server._connections._count_limit = 2
+            unfinished = request_bytes(2, 10) + b"x"
+            requests = [request_bytes(1, 1) + b"x", *[unfinished] * 4]
+            opened = await self.open_connections(fixture, requests)
+            await self.assert_closed(opened[1][0])
+            async with asyncio.timeout(5.0):
+                self.assertIn(b" 200 ", await opened[0][0].readline())
+
+
 class SentAheadTests(LoopCase):
     """Requests sent ahead were all read, with their bodies, before the first answer."""
 
