Limit callers' connections where descriptors do not

Cause: the account of the callers' memory counts what they have sent and not read. Connections themselves were bounded only by 0.6 of the descriptors: 12,000 where a process has 20,000 of them, and 39,000 where they are unlimited. Measured on a gateway process with 3,000 connections each: 6 KB for an idle connection, 7 KB with an unfinished head, 15 KB after one request, so 12,000 take about 180 MB.

Change: callers_connections_limit_count for gateways and entries, 4,096 by default. Hosts with 4,100 descriptors already have a lower limit. A fixed amount for each connection in the account was ruled out: idle connections hold least, so callers with a request would be reset first.

test_connections_are_limited_where_descriptors_are_not failed before (39,321 is not less than 5,000); test_callers_limits, test_entry_connections and test_settings pass.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 from ._callers_memory import CallersMemory, ReceivedBytes
-from ._decisions.held_memory import SMALL_BYTES, Holder
+from ._decisions.held_memory import CONNECTIONS_LIMIT_COUNT, SMALL_BYTES, Holder
 from ._memory import return_large_blocks
 
 log = logbook.Logger("caller_connections")
@@ -306,8 +306,8 @@
         head_line_limit_bytes: Longest request line and header field.
         decodes_bodies: Whether bodies with a content coding are decoded as they are
             read. A body that is passed on with its headers must not be.
-        count_limit: Highest number of connections; by default a share of the
-            process's descriptors.
+        count_limit: Highest number of connections, if a share of the process's
+            descriptors allows it.
         memory_limits: Arguments ``limit_bytes`` and ``body_limit_bytes`` of the
             ``CallersMemory``.
 
@@ -323,7 +323,7 @@
         limits,
         head_line_limit_bytes=HEAD_LINE_LIMIT_BYTES,
         decodes_bodies=True,
-        count_limit=None,
+        count_limit=CONNECTIONS_LIMIT_COUNT,
         **memory_limits,
     ):
         self.memory = CallersMemory(
@@ -335,7 +335,7 @@
         self._limits = limits
         self._head_line_limit_bytes = head_line_limit_bytes
         self._decodes_bodies = decodes_bodies
-        self._count_limit = count_limit or _descriptors_share()
+        self._count_limit = min(count_limit, _descriptors_share())
         self._listener = None
         self.opened_count = 0
         self._open = set()
--- a/src/waxwinghold/_decisions/held_memory.py
+++ b/src/waxwinghold/_decisions/held_memory.py
@@ -10,6 +10,8 @@
 MIB = 1024 * 1024
 # Of all callers together; the smallest hosts have 200 MB.
 LIMIT_BYTES = 32 * MIB
+# Of all callers; an idle connection takes about 15 KB.
+CONNECTIONS_LIMIT_COUNT = 4096
 # Whoever holds no more than this waits for no one; such callers are reset last.
 SMALL_BYTES = 16 * 1024
 SHORTEST_HOLD_MS = 1000.0  # About the time in which a sound caller takes its answer.
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -76,6 +76,7 @@
         self.connections = CallerConnections(
             clock=clock,
             limits=self._caller_limits,
+            count_limit=settings.callers_connections_limit_count,
             limit_bytes=lambda: settings.callers_memory_limit_bytes,
             body_limit_bytes=lambda: settings.body_limit_bytes,
         )
--- a/src/waxwinghold/_gateway/caller_server.py
+++ b/src/waxwinghold/_gateway/caller_server.py
@@ -105,6 +105,7 @@
             limits=lambda: gateway.limits,
             head_line_limit_bytes=PARSER_LIMIT_BYTES,
             decodes_bodies=False,
+            count_limit=gateway.settings.callers_connections_limit_count,
             limit_bytes=lambda: gateway.settings.callers_memory_limit_bytes,
             body_limit_bytes=lambda: gateway.limits.body_bytes,
         )
--- a/src/waxwinghold/_gateway/settings.py
+++ b/src/waxwinghold/_gateway/settings.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-from .._decisions.held_memory import LIMIT_BYTES
+from .._decisions.held_memory import CONNECTIONS_LIMIT_COUNT, LIMIT_BYTES
 
 # Settings that cannot change while the process runs: its sockets and tasks are created
 # with them at the start.
@@ -17,6 +17,7 @@
     "log_level",
     "metrics_port",
     "limit_passes",
+    "callers_connections_limit_count",
 )
 
 
@@ -65,6 +66,9 @@
             wait behind the others of the same priority while slots are scarce.
         callers_memory_limit_bytes: Memory for what all callers have sent and not read.
             The connections that hold most of it for longest are reset beyond that.
+        callers_connections_limit_count: Largest number of callers' connections, if the
+            descriptors allow it. Beyond that a new one replaces the one that has sent
+            no whole request for longest.
     """
 
     name: str
@@ -93,3 +97,4 @@
     metrics_port: int = 0
     fair_customers: bool = False
     callers_memory_limit_bytes: int = LIMIT_BYTES
+    callers_connections_limit_count: int = CONNECTIONS_LIMIT_COUNT
--- a/src/waxwinghold/_settings.py
+++ b/src/waxwinghold/_settings.py
@@ -10,7 +10,7 @@
 import json5
 
 from ._convert import ConversionError, convert
-from ._decisions.held_memory import LIMIT_BYTES
+from ._decisions.held_memory import CONNECTIONS_LIMIT_COUNT, LIMIT_BYTES
 from ._errors import SettingsError
 
 PORT_PATTERN = re.compile("[0-9]{1,5}")
@@ -136,6 +136,9 @@
         retry_budget_ratio: Retries allowed per first attempt.
         callers_memory_limit_bytes: Memory for what all callers have sent and not read.
             The connections that hold most of it for longest are reset beyond that.
+        callers_connections_limit_count: Largest number of callers' connections, if the
+            descriptors allow it. Beyond that a new one replaces the one that has sent
+            no whole request for longest.
     """
 
     http_address: str
@@ -150,6 +153,7 @@
     drain_notice_ms: int = 2000
     retry_budget_ratio: float = 0.1
     callers_memory_limit_bytes: int = LIMIT_BYTES
+    callers_connections_limit_count: int = CONNECTIONS_LIMIT_COUNT
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/tests/test_callers_limits.py
+++ b/tests/test_callers_limits.py
@@ -132,6 +132,25 @@
                 self.assertIn(b" 200 ", await opened[0][0].readline())
 
 
+class ConnectionsLimitTests(LoopCase):
+    """Only descriptors limited idle connections: many filled the memory."""
+
+    async def test_idle_connections_beyond_the_setting_are_closed(self):
+        fixture = GatewayFixture(
+            behaviours=["whole"], callers_connections_limit_count=8
+        )
+        async with fixture.open():
+            for number in range(20):
+                reader, writer = await asyncio.open_connection(
+                    "127.0.0.1", fixture.port
+                )
+                self.addCleanup(writer.close)
+                writer.write(request_bytes(number))
+                async with asyncio.timeout(2.0):
+                    self.assertIn(b" 200 ", await reader.readline())
+            self.assertEqual(len(fixture.gateway._caller_server._connections.open), 8)
+
+
 class SentAheadTests(LoopCase):
     """Requests sent ahead were all read, with their bodies, before the first answer."""
 
--- a/tests/test_entry_connections.py
+++ b/tests/test_entry_connections.py
@@ -79,3 +79,10 @@
         with mock.patch("resource.getrlimit", return_value=unlimited):
             connections = CallerConnections(clock=Clock(), limits=lambda: None)
         self.assertGreater(connections._count_limit, 1000)
+
+    def test_connections_are_limited_where_descriptors_are_not(self):
+        # They filled the memory: 39,000 were kept, with 15 KB each.
+        unlimited = (resource.RLIM_INFINITY, resource.RLIM_INFINITY)
+        with mock.patch("resource.getrlimit", return_value=unlimited):
+            connections = CallerConnections(clock=Clock(), limits=lambda: None)
+        self.assertLess(connections._count_limit, 5000)
