Count unread requests in the kernel's buffers as callers' memory

Cause: a process reads at most one request ahead on a connection and pauses. What the caller sends beyond that waits in the kernel, 60 to 150 KB on each connection, and was in no account: beside each MB that the account allowed the kernel held 1 to 3 MB more. It takes the memory of the host all the same.

Change: the account also counts what the kernel has received on connections that are not being read (FIONREAD). Ordinary connections are always read, so nothing changes for them. A smaller receive buffer was ruled out: it would slow down sound uploads over long links.

--- a/src/waxwinghold/_caller_connections.py
+++ b/src/waxwinghold/_caller_connections.py
@@ -1,8 +1,11 @@
 """Callers' connections to a gateway or an entry, and the limits on them."""
 
 import asyncio
+import fcntl
 import resource
 import socket
+import sys
+import termios
 from dataclasses import dataclass
 
 import logbook
@@ -168,6 +171,8 @@
             size_bytes += self.waiting_bytes()
         if self.transport is not None:
             size_bytes += self.transport.get_write_buffer_size()
+            if not (self.transport.is_reading() or self.transport.is_closing()):
+                size_bytes += _unread_bytes(self.transport.get_extra_info("socket"))
         return size_bytes
 
     def update_holder(self):
@@ -497,6 +502,16 @@
         log.debug("unsent bytes cannot be limited: {!r}", error)
 
 
+def _unread_bytes(sock):
+    """Return what the kernel has received on a socket and the process has not read."""
+    try:
+        count = fcntl.ioctl(sock.fileno(), termios.FIONREAD, bytes(4))
+    except OSError as error:
+        log.debug("unread bytes cannot be counted: {!r}", error)
+        return 0
+    return int.from_bytes(count, sys.byteorder)
+
+
 def _descriptors_share():
     descriptors_count, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
     if descriptors_count == resource.RLIM_INFINITY:
--- a/tests/test_callers_limits.py
+++ b/tests/test_callers_limits.py
@@ -1,6 +1,9 @@
 """Tests of the memory that a gateway's callers hold together, in one event loop."""
 
 import asyncio
+import fcntl
+import sys
+import termios
 
 import logbook
 
@@ -75,6 +78,46 @@
             writer.close()
 
 
+class UnreadRequestsTests(LoopCase):
+    """Requests sent ahead filled the kernel's buffers on many connections."""
+
+    async def test_what_the_kernel_holds_of_them_is_limited(self):
+        fixture = GatewayFixture(
+            behaviours=["silent"], callers_memory_limit_bytes=LIMIT_BYTES
+        )
+        async with fixture.open():
+            fixture.register_worker(fixture.workers[0], slots=1000)
+            connections = fixture.gateway._caller_server._connections
+            callers = []
+            for _ in range(400):
+                caller = await asyncio.open_connection("127.0.0.1", fixture.port)
+                callers.append(caller)
+                caller[1].write((request_bytes(1, 3000) + b"x" * 3000) * 100)
+            await asyncio.sleep(2.5)  # Longer than two sweeps.
+            self.assertGreater(len(connections.open), 20)
+            self.assertLess(unread_bytes(connections), LIMIT_BYTES)
+            fixture.workers[0].behaviour = "whole"
+            async with asyncio.timeout(10.0):
+                while (await fixture.call("/safe/a"))[0] != 200:
+                    await asyncio.sleep(0.1)
+
+
+def unread_bytes(connections):
+    """Return the bytes that the kernel has received and the process has not read."""
+    return sum(
+        int.from_bytes(
+            fcntl.ioctl(
+                connection.transport.get_extra_info("socket").fileno(),
+                termios.FIONREAD,
+                bytes(4),
+            ),
+            sys.byteorder,
+        )
+        for connection in connections.open
+        if connection.transport is not None
+    )
+
+
 class UnfinishedRequestsTests(LoopCase):
     """Unfinished requests on all connections kept every other caller out."""
 
