Show the state of an entry that a status query did not reach

The check is as before; when it fails it now prints the task and the status of the entry, which tell a process that has ended from a refused link and from one that was not heard.

--- a/tests/test_tool_fleet.py
+++ b/tests/test_tool_fleet.py
@@ -107,7 +107,9 @@
             self.operator(self.known_process, unreachable, limit_ms=1000)
         )
         self.assertEqual(report.status, 6)
-        self.assertEqual(report.data["unreachable"], ["entry-2"])
+        # Tells a process that has ended from one that refused the link.
+        state = (self.task, self.process.status())
+        self.assertEqual(report.data["unreachable"], ["entry-2"], msg=state)
         self.assertEqual(len(report.data["processes"]), 1)
 
     async def test_an_unknown_key_gets_no_reply(self):
