--- a/review/common_2.py
+++ b/review/common_2.py
@@ -412,9 +412,10 @@
         async with self._free:
             if writer.is_closing() or reader.at_eof():
                 return False
-            return await self.work(first, request, echo, body, reader, writer)
+            return await self.work(first, headers, echo, body, reader, writer)
 
-    async def work(self, first, request, echo, body, reader, writer):
+    async def work(self, first, headers, echo, body, reader, writer):
+        request = headers.get("attempt-id", "")
         self.runs.append(request)
         self.active += 1
         self._record(f"{self.name}: runs {request} ({len(body)} bytes)")
