--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,6 +1,7 @@
 """Case 9: a gateway goes on using a worker that is gone after its connection went silent."""
 
 import asyncio
+import os
 import sys
 import time
 from pathlib import Path
@@ -26,7 +27,11 @@
 
 ROUNDS_COUNT = 5
 GONE_AFTER_S = 0.5  # The entry is removed so long after the connections went silent.
-EXIT_S = 3.6  # Then the worker ends: drain-ms and 1.1 s after the removal.
+EXIT_S = 3.6 if os.environ.get("HOW") != "cuts" else 9.0  # Then the worker ends: drain-ms and 1.1 s after the removal.
+# HOW=cut: the store cuts the waiting watch instead ("A watch that is waiting may be cut"),
+# as the entry is removed; HOW=cuts: and again each 1.5 s. No time in touch is lost then.
+HOW = os.environ.get("HOW", "silent")
+CUTS_GAP_S = 1.5
 REQUESTS_PER_S = 40
 WORK_S = 0.3
 CONTACT_S = BOUNDS["contact-ms"] / 1000
@@ -42,7 +47,7 @@
     def __init__(self, store):
         self._store = store
         self._silent = set()
-        self._open = set()
+        self._open = {}  # The writer to the gateway, by connection.
 
     async def listen(self):
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
@@ -50,18 +55,24 @@
 
     def silence(self):
         """Let every connection that is open now pass nothing more; return how many."""
-        self._silent |= self._open
+        self._silent |= self._open.keys()
+        return len(self._open)
+
+    def cut(self):
+        """Reset every connection; return how many."""
+        for writer in self._open.values():
+            writer.transport.abort()
         return len(self._open)
 
     async def _serve(self, reader, writer):
         connection = object()
-        self._open.add(connection)
+        self._open[connection] = writer
         to_reader, to_writer = await asyncio.open_connection(*self._store.address)
         await asyncio.gather(
             self._pass(connection, reader, to_writer),
             self._pass(connection, to_reader, writer),
         )
-        self._open.discard(connection)
+        del self._open[connection]
 
     async def _pass(self, connection, reader, writer):
         try:
@@ -140,9 +151,15 @@
 async def one_round(gateway, store, path, leaver, record):
     """Silence the connection once; return the late requests, and those lost of them."""
     silent_s = time.monotonic()
-    if TROUBLE:
+    loop = asyncio.get_running_loop()
+    if TROUBLE and HOW == "silent":
         record(f"{path.silence()} connections to the store go silent, new ones work")
-    asyncio.get_running_loop().call_later(
+    elif TROUBLE:
+        record("the store cuts the watch as the entry is removed")
+        cuts_count = 1 if HOW == "cut" else int(EXIT_S / CUTS_GAP_S) + 1
+        for number in range(cuts_count):
+            loop.call_later(GONE_AFTER_S + number * CUTS_GAP_S, path.cut)
+    loop.call_later(
         GONE_AFTER_S, store.delete, f"servers/{leaver.name}"
     )
     gone_s = silent_s + GONE_AFTER_S
@@ -157,7 +174,7 @@
     record(f"{leaver.name}: ends, {leaver.active} requests run")
     leaver.stop()
     ends = dict(await asyncio.gather(*tasks))
-    bound_s = max(silent_s + CONTACT_S if TROUBLE else 0.0, gone_s + DRAIN_S)
+    bound_s = max(silent_s + CONTACT_S if TROUBLE and HOW == "silent" else 0.0, gone_s + DRAIN_S)
     # 50 ms for the way from the client to the gateway.
     late = [r for r in leaver.runs if sent_s[r] > bound_s + 0.05]
     last_s = max((sent_s[r] for r in leaver.runs), default=silent_s)
