--- a/review/10/case.py
+++ b/review/10/case.py
@@ -1,8 +1,8 @@
-"""Case 10: a caller gets a success into which the answer to another request was filled."""
+"""Case 10: a request that crashes workers is not recognised if it comes four times at once."""
 
 import asyncio
-import random
 import sys
+import time
 from pathlib import Path
 
 FOLDER = Path(__file__).parent
@@ -17,7 +17,6 @@
     Node,
     Store,
     Worker,
-    answer_bytes,
     configuration,
     free_ports,
     route,
@@ -25,161 +24,179 @@
     worker_entry,
 )
 
-WORKERS_COUNT = 2  # One of them is faulty: a share of 0.5.
-GARBLED_SHARE = 0.03
-BODY_BYTES = 800
-PAUSE_S = 0.02  # The extra answer comes so long after the answer that broke off.
-LATE_S = 1.0  # It was first given on the same connection at most so long before.
-CLIENTS_COUNT = 4
-RUN_S = 40.0
-TENANTS = ("guild", "shop")
-SEED = 48
+WORKERS_COUNT = 12
+ROUNDS_COUNT = 5
+ROUND_S = 6.0  # The client comes again with the same request.
+COPIES_COUNT = 4 if TROUBLE else 1  # retry_abuse with x 3: "repeat x more times, at once".
+BACK_S = 2.0  # "the worker is back after some seconds"
+SILENCE_S = 3.6  # The store drops an entry after three heartbeats.
+CONTACT_S = BOUNDS["contact-ms"] / 1000
+ALLOWED_COUNT = 3  # BUDGET: "in more than three retries"
+DEADLY = "/hold/deadly"
 
 
 class Desk(Worker):
-    """A worker of which some answers break off, with an extra answer behind them.
-
-    It takes the answer that it broke off for ended. The extra answer is one that it gave
-    on the same connection before, unchanged: its ``Attempt-Id`` names that request.
-    """
-
-    is_faulty = False
-    garbled_count = 0
-    rng = random.Random(SEED)
+    """A worker that the deadly request crashes as it begins to run it."""
 
     async def work(self, first, headers, echo, body, reader, writer):
-        request = headers["attempt-id"]
-        self.runs.append(request)
-        await asyncio.sleep(0.005)
-        seal = ("Server-Seal", f"{self.name}.{request}")
-        load = ("Server-Load", f"0,0,{self.slots}")
-        content = body_of(headers["tenant"], request)
-        answer = answer_bytes(200, [*echo, seal, load], content)
-        given = self.given.setdefault(writer, [])
-        now_s = asyncio.get_running_loop().time()
-        given[:] = [late for late in given if now_s - late[0] < LATE_S]
-        given.append((now_s, request, answer))
-        if self.is_faulty and len(given) > 1 and self.rng.random() < GARBLED_SHARE:
-            self.garbled_count += 1
-            cut = self.rng.randrange(1, BODY_BYTES)
-            index = self.rng.randrange(len(given) - 1)
-            late_s, late_request, late = given[index]
-            self._record(
-                f"{self.name}: {request} broken off {cut} bytes before its end; then the "
-                f"answer to {late_request} again, {len(given) - 1 - index} requests and "
-                f"{now_s - late_s:.2f} s before"
-            )
-            writer.write(answer[:-cut])
-            await writer.drain()
-            await asyncio.sleep(PAUSE_S)
-            answer = late
-        writer.write(answer)
-        await writer.drain()
-        return True
+        if first.split()[1] != DEADLY:
+            return await super().work(first, headers, echo, body, reader, writer)
+        self.site.reached_s.append(time.monotonic())
+        self.site.crash(self, headers["attempt-id"])
+        return False
 
 
-def body_of(tenant, request):
-    """Return the body of the answer to a request of a tenant."""
-    return (f"{tenant}:{request} " * BODY_BYTES)[:BODY_BYTES].encode()
+class Site:
+    """The workers of the service and their entries in the store."""
 
+    def __init__(self, store, record):
+        self._store, self._record = store, record
+        self._count = 0
+        self.crashes_s = []  # When the deadly request crashed a worker.
+        self.reached_s = []  # When it reached a worker.
+        self.workers = []
 
-async def case(record):
-    store = Store()
-    await store.listen()
-    for number in range(WORKERS_COUNT):
+    async def add(self):
+        self._count += 1
         worker = Desk(
-            name=f"i-desk{number}",
+            name=f"i-desk{self._count}",
             service="book-desk",
             slots=6,
-            work_s=0.0,
-            record=record,
+            work_s=1.0,
+            record=self._record,
         )
-        worker.given = {}
-        worker.is_faulty = TROUBLE and number == 0
+        worker.site = self
         await worker.listen()
-        store.put(f"servers/{worker.name}", worker_entry(worker))
+        self.workers.append(worker)
+        self._store.put(f"servers/{worker.name}", worker_entry(worker))
+
+    def crash(self, worker, request):
+        if worker not in self.workers:
+            return
+        self.workers.remove(worker)
+        self.crashes_s.append(time.monotonic())
+        self._record(f"{worker.name}: crashed by {request}, {worker.active} others run")
+        worker.stop()
+        self._tasks = getattr(self, "_tasks", [])
+        self._tasks.append(asyncio.create_task(self._replace(worker)))
+
+    async def _replace(self, worker):
+        await asyncio.sleep(BACK_S)
+        await self.add()
+        await asyncio.sleep(SILENCE_S - BACK_S)
+        self._store.delete(f"servers/{worker.name}")
+
+
+async def case(record):
+    store = Store()
+    await store.listen()
+    site = Site(store, record)
+    for _ in range(WORKERS_COUNT):
+        await site.add()
     store.put(
         "op/config",
         configuration(
             version=3,
             routes=[
-                route(
-                    name="look",
-                    prefix="/look/",
-                    kind="safe",
-                    service="book-desk",
-                    **{"max-attempts": 2, "timeout-ms": 800},
-                )
+                route(name="hold", prefix="/hold/", kind="unsafe", service="book-desk")
             ],
             services=[{"name": "book-desk", "max-conns": 110}],
             tenants=[
-                {"name": name, "api-keys": [f"key-of-{name}"]} for name in TENANTS
+                {"name": "guild", "api-keys": ["key-of-guild"]},
+                {"name": "shop", "api-keys": ["key-of-shop"]},
             ],
         ),
     )
+    ips = ["127.0.0.1", "127.0.0.2"]
     port = free_ports("127.0.0.1", 1)[0]
-    gateway = Node(
-        role="gateway",
-        name="edge-nadi-a-1",
-        ip="127.0.0.1",
-        zone="nadi-a",
-        store=store.address,
-        seeds=["127.0.0.1:8229"],
-        port_range=[port, port + 15],
-        record=record,
-    )
-    counts = {"asked": 0, "whole": 0, "failed": 0, "wrong": 0, "other tenant's": 0}
-    try:
-        await gateway.start()
-        await gateway.wait_ready()
-        await asyncio.sleep(BOUNDS["contact-ms"] / 1000)
-        end_s = asyncio.get_running_loop().time() + RUN_S
-        await asyncio.gather(
-            *(client(gateway, n, end_s, counts, record) for n in range(CLIENTS_COUNT))
+    gateways = [
+        Node(
+            role="gateway",
+            name=f"edge-nadi-{number}",
+            ip=ip,
+            zone="nadi-a",
+            store=store.address,
+            seeds=[f"{ip}:8229" for ip in ips],
+            port_range=[port, port + 15],
+            record=record,
         )
+        for number, ip in enumerate(ips)
+    ]
+    ends = {}
+    try:
+        for gateway in gateways:
+            await gateway.start()
+        for gateway in gateways:
+            await gateway.wait_ready()
+        others = asyncio.create_task(bystanders(gateways, ends, record))
+        await asyncio.sleep(CONTACT_S + 1)
+        for round_number in range(ROUNDS_COUNT):
+            copies = [
+                send(
+                    gateways[0],  # "It selects that node by a hash of the client"
+                    f"d{round_number}-{copy}",
+                    DEADLY,
+                    "key-of-shop",
+                    record,
+                )
+                for copy in range(COPIES_COUNT)
+            ]
+            await asyncio.gather(*copies)
+            await asyncio.sleep(ROUND_S)
+        others.cancel()
+        await asyncio.sleep(2.0)
     finally:
-        await gateway.kill()
-    record(f"{counts}")
-    return BROKEN if counts["wrong"] else HELD
-
-
-async def client(gateway, number, end_s, counts, record):
-    """Ask again and again on one connection, and check each answer."""
-    connection = Client(gateway.address)
-    tenant = TENANTS[number % len(TENANTS)]
-    while asyncio.get_running_loop().time() < end_s:
-        counts["asked"] += 1
-        request = f"c{number}-{counts['asked']:05}"
-        headers = [
-            ("Host", "shop.example"),
-            ("Attempt-Id", request),
-            ("Deadline-Ms", 1500),
-            ("Credential", f"key-of-{tenant}"),
-        ]
-        try:
-            answer = await connection.request("GET", "/look/1", headers)
-        except (OSError, asyncio.IncompleteReadError):
-            connection.close()
-            counts["failed"] += 1
-            continue
-        whole = body_of(tenant, request)
-        if answer.status != 200:
-            counts["failed"] += 1
-        elif answer.body == whole and answer.headers["attempt-id"] == request:
-            counts["whole"] += 1
-        else:
-            counts["wrong"] += 1
-            others = [name for name in TENANTS if name != tenant]
-            counts["other tenant's"] += any(
-                f"{name}:".encode() in answer.body for name in others
+        for gateway in gateways:
+            await gateway.kill()
+    crashes_s = site.crashes_s
+    late = []
+    if len(crashes_s) >= 3:
+        late = [at_s for at_s in site.reached_s if at_s > crashes_s[2] + CONTACT_S]
+    lost = [request for request, status in ends.items() if status in (None, 502)]
+    record(f"{len(crashes_s)} crashes; sent to a worker later than contact-ms after the")
+    record(f"third one: {len(late)} times; requests of others lost: {len(lost)} of {len(ends)}")
+    for gateway in gateways:
+        for line in gateway.output.read_text().splitlines():
+            if "blocked" in line:
+                record(f"{gateway.name} log: {line}")
+    return BROKEN if len(late) > ALLOWED_COUNT else HELD
+
+
+async def bystanders(gateways, ends, record):
+    """Send sound requests of another customer, three a second."""
+    tasks = set()
+    number = 0
+    while True:
+        number += 1
+        request = f"s{number:03}"
+
+        async def one(request=request, gateway=gateways[number % len(gateways)]):
+            ends[request] = await send(
+                gateway, request, f"/hold/{request}", "key-of-guild", record
             )
-            pairs = enumerate(zip(answer.body, whole))
-            at = next((i for i, (a, b) in pairs if a != b), len(answer.body))
-            record(
-                f"client: {request} gets 200, seal {answer.headers.get('server-seal')}, "
-                f"{len(answer.body)} bytes; from byte {at} on: {answer.body[at:at + 160]!r}"
-            )
-        await asyncio.sleep(0.02)
+
+        tasks.add(asyncio.create_task(one()))
+        await asyncio.sleep(0.33)
+
+
+async def send(gateway, request, path, key, record):
+    """Send a request on a new connection; return the status of its answer or ``None``."""
+    headers = [
+        ("Host", "shop.example"),
+        ("Attempt-Id", request),
+        ("Deadline-Ms", 7900),
+        ("Credential", key),
+    ]
+    client = Client(gateway.address)
+    try:
+        answer = await client.request("POST", path, headers, b"the same body")
+        status = answer.status
+    except (OSError, asyncio.IncompleteReadError):
+        status = None
+    finally:
+        client.close()
+    record(f"client: {request} to {gateway.name}: {status}")
+    return status
 
 
 run_case(case, FOLDER)
