--- a/review/6/case.py
+++ b/review/6/case.py
@@ -161,12 +161,15 @@
         except (OSError, asyncio.IncompleteReadError):
             connection.close()
             counts["failed"] += 1
+            record(f"client: {request} without an answer")
             continue
         whole = body_of(tenant, request)
         if answer.status != 200:
             counts["failed"] += 1
+            record(f"client: {request} answered {answer.status}")
         elif answer.body == whole and answer.headers["attempt-id"] == request:
             counts["whole"] += 1
+            record(f"client: {request} whole, {answer.headers['server-seal']}")
         else:
             counts["wrong"] += 1
             others = [name for name in TENANTS if name != tenant]
