--- a/review/10/case.py
+++ b/review/10/case.py
@@ -25,8 +25,9 @@
 )
 
 WORKERS_COUNT = 12
-ROUNDS_COUNT = 5
-ROUND_S = 6.0  # The client comes again with the same request.
+# When the client comes with the same request. It repeats it at once in the first 5.5 s.
+ROUNDS_S = (0.0, 3.4, 5.2, 10.0, 14.0)
+ABUSE_S = 5.5
 COPIES_COUNT = 4 if TROUBLE else 1  # retry_abuse with x 3: "repeat x more times, at once".
 BACK_S = 2.0  # "the worker is back after some seconds"
 SILENCE_S = 3.6  # The store drops an entry after three heartbeats.
@@ -130,7 +131,9 @@
             await gateway.wait_ready()
         others = asyncio.create_task(bystanders(gateways, ends, record))
         await asyncio.sleep(CONTACT_S + 1)
-        for round_number in range(ROUNDS_COUNT):
+        began_s = time.monotonic()
+        for round_number, at_s in enumerate(ROUNDS_S):
+            await asyncio.sleep(max(0.0, began_s + at_s - time.monotonic()))
             copies = [
                 send(
                     gateways[0],  # "It selects that node by a hash of the client"
@@ -139,10 +142,9 @@
                     "key-of-shop",
                     record,
                 )
-                for copy in range(COPIES_COUNT)
+                for copy in range(COPIES_COUNT if at_s < ABUSE_S else 1)
             ]
             await asyncio.gather(*copies)
-            await asyncio.sleep(ROUND_S)
         others.cancel()
         await asyncio.sleep(2.0)
     finally:
--- a/review/6/case.py
+++ b/review/6/case.py
@@ -31,7 +31,8 @@
 PAUSE_S = 0.02  # The extra answer comes so long after the answer that broke off.
 LATE_S = 1.0  # It was first given on the same connection at most so long before.
 CLIENTS_COUNT = 4
-RUN_S = 40.0
+RUN_S = 8.0
+GARBLE_S = (1.0, 6.0)  # The worker is faulty from and until then: for 5 s.
 TENANTS = ("guild", "shop")
 SEED = 48
 
@@ -45,8 +46,13 @@
 
     is_faulty = False
     garbled_count = 0
+    began_s = 0.0  # When the clients began.
     rng = random.Random(SEED)
 
+    def is_garbling(self, now_s):
+        begin_s, end_s = GARBLE_S
+        return self.is_faulty and begin_s <= now_s - Desk.began_s < end_s
+
     async def work(self, first, headers, echo, body, reader, writer):
         request = headers["attempt-id"]
         self.runs.append(request)
@@ -59,7 +65,7 @@
         now_s = asyncio.get_running_loop().time()
         given[:] = [late for late in given if now_s - late[0] < LATE_S]
         given.append((now_s, request, answer))
-        if self.is_faulty and len(given) > 1 and self.rng.random() < GARBLED_SHARE:
+        if self.is_garbling(now_s) and len(given) > 1 and self.rng.random() < GARBLED_SHARE:
             self.garbled_count += 1
             cut = self.rng.randrange(1, BODY_BYTES)
             index = self.rng.randrange(len(given) - 1)
@@ -133,7 +139,8 @@
         await gateway.start()
         await gateway.wait_ready()
         await asyncio.sleep(BOUNDS["contact-ms"] / 1000)
-        end_s = asyncio.get_running_loop().time() + RUN_S
+        Desk.began_s = asyncio.get_running_loop().time()
+        end_s = Desk.began_s + RUN_S
         await asyncio.gather(
             *(client(gateway, n, end_s, counts, record) for n in range(CLIENTS_COUNT))
         )
