Count crashes of targets in the middle of an answer

Cause: the beginning of an answer was taken for a proof that its content is sound. A lost connection was no evidence once it had brought data, and the first data of each run cleared the request and the parts of its prompt of all crashes before it.

Change: - Only an answer that ended whole clears a request and its parts (record_run). That a target answers something that was sent after its crash still refutes the crash, from the first byte on (record_answer). - A connection that is lost at any point counts, if its target accepts no connection then. That tells a crash from what a target cuts off: the ranks of a group that lost another one cut off sound streams, again and again, and go on. They were told apart by the missing data only. One connection is opened for all that a target lost at once, none if its group is known to be stalled. - A target that leaves or is no longer listed ends by plan, which is no evidence.

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -5,10 +5,15 @@
 prompts, at any process, among sound requests that share all other parts.
 ``tests.test_decisions_crash_suspects`` replays both.
 
-A part gets the blame for a crash only if a request with it was lost there before any
-of its answer arrived. An answer that shows a run clears its request and the parts of
-it. A part that explains crashes takes the blame for them from the parts beside it, so
-that a part which every request has is not blocked for another one.
+A part gets the blame for a crash only if a request with it was lost there. An answer
+that ended whole clears its request and the parts of it; its beginning does not, as
+targets crash in the middle of answers too. A part that explains crashes takes the blame
+for them from the parts beside it, so that a part which every request has is not blocked
+for another one.
+
+A connection that ends is no evidence if its target goes on without it: a target whose
+group lost another rank cuts off what it has, again and again, also streams that are
+sound.
 """
 
 import collections
@@ -49,6 +54,20 @@
     return status < FIRST_CLIENT_ERROR_STATUS
 
 
+def may_show_crash(*, is_listed, is_leaving, is_stalled):
+    """Return whether a connection that ended may show that its target crashed.
+
+    If so, the target shows it by accepting no new connection.
+
+    Args:
+        is_listed: Whether the platform still lists the target.
+        is_leaving: Whether the target leaves: it then ends by plan.
+        is_stalled: Whether its group is stalled: it then begins no requests, and cuts
+            off those that it has.
+    """
+    return is_listed and not is_leaving and not is_stalled
+
+
 @dataclass(frozen=True, kw_only=True)
 class RequestContent:
     """What may make a request crash its target.
@@ -77,7 +96,7 @@
 
 @dataclass(frozen=True, kw_only=True)
 class LostRequest:
-    """A request that was lost, without any of its answer, as its target crashed.
+    """A request that was lost, with the rest of its answer, as its target crashed.
 
     Args:
         target: Name and incarnation of the target.
@@ -132,7 +151,7 @@
         return len(self._blocked_parts) + len(self._blocked_contents)
 
     def record_loss(self, content, *, target, is_begun, now_ms):
-        """Record that the connection to a target ended before any answer.
+        """Record that a target crashed before it had answered a request.
 
         Args:
             content: The ``RequestContent`` of the lost request.
@@ -149,23 +168,27 @@
         if self._add(lost):
             self._decide()
 
-    def record_answer(self, content, *, target, sent_ms, has_run, now_ms):
+    def record_answer(self, *, target, sent_ms):
         """Record that a part of an answer arrived.
 
+        A target that answers what was sent later than its crash has not crashed.
+
         Args:
-            content: The ``RequestContent`` of the answered request.
             target: Name and incarnation of the target that answered.
-            sent_ms: When the request was sent. A target that answers what was sent
-                later than its crash has not crashed.
-            has_run: Whether the answer shows that the target ran the request. A target
-                may answer with an error without beginning to.
+            sent_ms: When the request was sent.
         """
         crash = self._crashes.get(target)
-        is_refuted = crash is not None and sent_ms > crash.at_ms
-        if is_refuted:
+        if crash is not None and sent_ms > crash.at_ms:
             del self._crashes[target]
-        is_cleared = has_run and self._clear_content(content, now_ms)
-        if is_refuted or is_cleared:
+            self._decide()
+
+    def record_run(self, content, *, now_ms):
+        """Record that an answer that shows a run ended whole, see ``shows_run``.
+
+        Args:
+            content: The ``RequestContent`` of the answered request.
+        """
+        if self._clear_content(content, now_ms):
             self._decide()
 
     def _clear_content(self, content, now_ms):
--- a/src/waxwinghold/_entry/process.py
+++ b/src/waxwinghold/_entry/process.py
@@ -152,13 +152,10 @@
             has_run: Whether the answer shows that the target ran the request.
         """
         version = self.crash_suspects.version
-        self.crash_suspects.record_answer(
-            _prompt_content(request),
-            target="",
-            sent_ms=0.0,
-            has_run=has_run,
-            now_ms=self.clock.now_ms(),
-        )
+        if has_run:
+            self.crash_suspects.record_run(
+                _prompt_content(request), now_ms=self.clock.now_ms()
+            )
         if self.crash_suspects.version != version:
             self.peers.broadcast(self.lost_requests_notice())
         self._retry_after_schedule.record_completed(now_ms=self.clock.now_ms())
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -13,6 +13,7 @@
 from .errors import (
     AnswerLostError,
     BrokenStreamError,
+    ConnectionLostError,
     CrashingRequestError,
     DoubtfulAnswerError,
     EvacuatedTargetsError,
@@ -463,6 +464,10 @@
         except SendError as error:
             self._record_failure(running, attempt, error)
             self._hedge.record_failure(running, error)
+            if isinstance(error, ConnectionLostError):
+                await self._gateway.lost_connections.record(
+                    target, self._admitted, is_begun=attempt.has_head
+                )
             return error
         except asyncio.CancelledError:
             if attempt.may_have_arrived:
@@ -489,8 +494,6 @@
             # The target may be sound, and the only one of its service.
             self._needs_new_connection = True
             self._tried.discard(target.listing.name)
-        if error.code == "connection_lost":
-            self._record_lost_connection(target, attempt, now_ms)
         details = self._failure_details(target, error)
         details["answer_begun"] = attempt.has_head
         details["answer_data"] = attempt.has_data
@@ -508,29 +511,6 @@
             "left_ms": round(self._left_ms()),
         }
 
-    def _record_lost_connection(self, target, send, now_ms):
-        # A group that makes no steps begins no requests: it cuts off those that it has.
-        if send.has_data or target.is_stalled(now_ms):
-            return
-        suspects = self._gateway.suspects
-        blocked_count = suspects.blocked_count
-        suspects.record_loss(
-            self._admitted.content,
-            target=target.incarnation,
-            is_begun=send.has_head,
-            now_ms=now_ms,
-        )
-        self._gateway.metrics.count("crashes")
-        if suspects.blocked_count > blocked_count:
-            log.warn(
-                "crashing content blocked",
-                extra={
-                    "request": self._call.request_id,
-                    "target": target.listing.name,
-                    "shared_parts": self._call.shared_parts,
-                },
-            )
-
     def _record_rejection(self, target, error, now_ms):
         if not error.culprit:
             target.record_rejection(now_ms=now_ms)
--- a/src/waxwinghold/_gateway/connection_pool.py
+++ b/src/waxwinghold/_gateway/connection_pool.py
@@ -2,6 +2,7 @@
 
 from .._decisions.connections import IDLE_LIMIT_COUNT
 from .connection import open_connection
+from .errors import ConnectError
 
 CONNECT_LIMIT_MS = 200.0  # Many round trips; TCP resends a lost packet after 1 s.
 IDLE_LIMIT_MS = 2000.0  # Targets may close idle connections sooner than announced.
@@ -48,6 +49,15 @@
             self._address, limit_ms=min(limit_ms, CONNECT_LIMIT_MS)
         )
 
+    async def accepts_connections(self):
+        """Return whether a new connection can be opened."""
+        try:
+            connection = await open_connection(self._address, limit_ms=CONNECT_LIMIT_MS)
+        except ConnectError:
+            return False
+        connection.abort()
+        return True
+
     def release(self, connection):
         """Keep ``connection`` for reuse, or close it if it cannot be used again."""
         if not connection.reusable or len(self._idle) >= self.idle_limit_count:
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -31,6 +31,7 @@
     StoppingError,
     UnconfiguredError,
 )
+from .lost_connections import LostConnections
 from .model import CallerLimits
 from .notices import AskNotice, FragmentNotice, FreshNotice
 from .peers import Peers
@@ -83,6 +84,13 @@
         )
         self.suspects = CrashSuspects()
         self.metrics.gauge("blocked_contents", lambda: self.suspects.blocked_count)
+        self.lost_connections = LostConnections(
+            clock=clock,
+            suspects=self.suspects,
+            target_pool=self.target_pool,
+            metrics=self.metrics,
+            spawn=lambda coroutine: self._tasks.spawn(coroutine),
+        )
         self.metrics.gauge("targets_leaving", lambda: self._targets_count("is_leaving"))
         self.metrics.gauge(
             "targets_paused", lambda: self._targets_count("pause_left_ms")
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -341,7 +341,9 @@
         """
         body = await self._whole_body(connection)
         self._check_body(target, connection, body)
-        self._record_first_answer(target, has_run=shows_run(head.status))
+        self._record_first_answer(target)
+        if shows_run(head.status):
+            self._record_run()
         if head.status >= FIRST_ERROR_STATUS:
             target.record_error_answer()
             if self._may_repeat() or not self._is_alone():
@@ -370,7 +372,7 @@
             if not data:
                 break
             if not self.has_data:
-                self._record_first_answer(target, has_run=True)
+                self._record_first_answer(target)
             try:
                 events = splitter.feed(data)
             except EventTooLongError as error:
@@ -387,6 +389,7 @@
         if connection.ends_answer and not self.has_data:
             # A target that crashes before its first event ends its connection too.
             raise ConnectionLostError("the connection ended before the first event")
+        self._record_run()
         self._on_progress(ends=True)
         self._progress.is_complete = True
         self._on_answered()
@@ -522,17 +525,18 @@
         can_repeat = self._route.repeatable and self._has_another
         return can_repeat and self._left_ms() > SHORTEST_SEND_MS
 
-    def _record_first_answer(self, target, *, has_run):
+    def _record_first_answer(self, target):
         self.has_data = True
         now_ms = self._clock.now_ms()
         self._admission_queue.first_answer_time.record(now_ms - self._sent_ms)
         target.answered_send_ms = max(target.answered_send_ms, self._sent_ms)
         self._gateway.suspects.record_answer(
-            self._admitted.content,
-            target=target.incarnation,
-            sent_ms=self._sent_ms,
-            has_run=has_run,
-            now_ms=now_ms,
+            target=target.incarnation, sent_ms=self._sent_ms
+        )
+
+    def _record_run(self):
+        self._gateway.suspects.record_run(
+            self._admitted.content, now_ms=self._clock.now_ms()
         )
 
     def _record_signals(self, target, metadata):
--- a/src/waxwinghold_standins/fleet_worker.py
+++ b/src/waxwinghold_standins/fleet_worker.py
@@ -22,7 +22,9 @@
         events_count: Number of events in a complete stream.
         event_ms: Time between two events of a stream.
         crash_part: Id of a prompt part that crashes the worker as it begins an answer.
-        crash_path: Path of requests that crash the worker before it answers.
+        crash_path: Path of requests that crash the worker before it answers, or after
+            ``crash_events_count`` events.
+        crash_events_count: Events of an answer that are sent before a crash in it.
         restart_ms: Time from a crash until the worker listens again.
         on_restart: Called with the worker as it listens again, under a new name.
 
@@ -69,12 +71,14 @@
         event_ms=5.0,
         crash_part="",
         crash_path="",
+        crash_events_count=0,
         restart_ms=300.0,
         on_restart=lambda worker: None,
     ):
         super().__init__()
         self.crash_part = crash_part
         self.crash_path = crash_path
+        self.crash_events_count = crash_events_count
         self.restart_ms = restart_ms
         self.on_restart = on_restart
         self.crash_times_s = []
@@ -119,6 +123,8 @@
         if self.crash_part and self.crash_part in shared_parts(request):
             return await self._crash_in_answer(request, writer)
         if self.crash_path and self.crash_path == request.path:
+            if self.crash_events_count:
+                return await self._crash_in_answer(request, writer)
             self.record_run(request)
             return self._crash()
         is_kept = await getattr(self, f"_answer_{self.behaviour}")(request, writer)
@@ -131,10 +137,14 @@
         await super().stop()
 
     async def _crash_in_answer(self, request, writer):
-        """Begin an answer, then crash."""
+        """Begin an answer, send ``crash_events_count`` events of it, then crash."""
         headers = [*self.record_run(request), ("Content-Type", "text/event-stream")]
         headers.append(("Transfer-Encoding", "chunked"))
         writer.write(answer_bytes(200, headers, with_length=False))
+        first = int(request.headers.get("last-event-id", 0)) + 1
+        for number in range(first, first + self.crash_events_count):
+            writer.write(http_chunk(stream_event(number)))
+            await writer.drain()
         await asyncio.sleep(self.event_ms / MS_PER_SECOND)
         return self._crash()
 
--- a/tests/test_decisions_crash_suspects.py
+++ b/tests/test_decisions_crash_suspects.py
@@ -76,13 +76,8 @@
             self.sound_sent_count += not is_blocked
             self.sound_blocked_count += is_blocked
         if not is_blocked and now_ms >= self._stalled_until_ms:
-            gateway.record_answer(
-                request,
-                target="alive",
-                sent_ms=now_ms - 100,
-                has_run=True,
-                now_ms=now_ms,
-            )
+            gateway.record_answer(target="alive", sent_ms=now_ms - 100)
+            gateway.record_run(request, now_ms=now_ms)
 
     def _crashing(self, now_ms):
         request = self._content(COMMON, f"session-{self.rng.randrange(40)}", CRASHING)
@@ -156,13 +151,9 @@
         )
 
     def answer(self, request, *, target="other", sent_ms=0.0, has_run=True):
-        self.suspects.record_answer(
-            request,
-            target=target,
-            sent_ms=sent_ms,
-            has_run=has_run,
-            now_ms=self.now_ms,
-        )
+        self.suspects.record_answer(target=target, sent_ms=sent_ms)
+        if has_run:
+            self.suspects.record_run(request, now_ms=self.now_ms)
 
     def is_blocked(self, request):
         return self.suspects.is_blocked(request, now_ms=self.now_ms)
--- a/tests/test_gateway_crashing_parts.py
+++ b/tests/test_gateway_crashing_parts.py
@@ -37,7 +37,14 @@
 
     async def test_requests_with_a_part_that_crashes_targets_stop_reaching_them(self):
         # Requests with the part, no two alike, were sent on by every gateway.
-        fleet = await self.open_fleet(gateways_count=3)
+        await self.check_part()
+
+    async def test_the_same_for_a_part_that_crashes_them_after_the_first_event(self):
+        # Each first event cleared the part of all crashes before it.
+        await self.check_part(crash_events_count=1)
+
+    async def check_part(self, **worker):
+        fleet = await self.open_fleet(gateways_count=3, **worker)
         sound, crashing = await asyncio.gather(
             self.send(fleet, parts=(), interval_s=0.04, for_s=7.0),
             self.send(fleet, parts=(CRASHING_PART,), interval_s=0.15, for_s=7.0),
