Count each target that a request which came several times at once crashed

Cause: the ends of four and more targets within 0.1 s counted as one crash, as in an outage, also where one and the same request was lost at each of them: an excuse for a coincidence was applied to the evidence that refutes it. Parts of prompts used the same count.

Ruled out: records that leave the request out (it is in each of them), the exchange (the copies of review/10 come to one gateway).

Change: - For a whole request, targets that ended at once are an outage only if one of them did not have it. A rack that ends takes others with it, whichever gateway lost them. - For a part that all of them had they count as two crashes, so that the second such round blocks a part which no answer clears. Requests of a service may all share a part: one outage still blocks none. - A target that is silent to a new connection has not shown a crash: its host is gone or cut off. So a rack without power is no evidence at all. - While a request was lost at two targets, or a part of it is suspected, one like it runs at a time at each gateway; the others are rejected with 503 and Retry-After, not run. An answer that ends whole ends that. It bounds what copies cost where a target that ended by chance looks like an outage.

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -17,6 +17,7 @@
 """
 
 import collections
+import enum
 import functools
 import hashlib
 import zlib
@@ -31,7 +32,9 @@
 CONTENTS_LIMIT_COUNT = 2  # One request that is repeated says nothing about its parts.
 # Callers repeat crashing content for minutes; afterwards it may have been mended.
 LIFETIME_MS = 600_000.0
-# The ends of this many targets at once may be an outage, and count as one crash.
+# The ends of this many targets at once may be an outage, and count as one crash for a
+# request that only some of them had. For a part that all of them had they count as
+# ``SUSPICIOUS_CRASHES_COUNT``: all requests of a service may share it.
 OUTAGE_TARGETS_COUNT = 4
 OUTAGE_WINDOW_MS = 100.0
 TARGETS_LIMIT_COUNT = 32  # Crashed targets that are remembered.
@@ -54,6 +57,18 @@
     return status < FIRST_CLIENT_ERROR_STATUS
 
 
+class Reachability(enum.Enum):
+    """What a target does with a new connection.
+
+    The host of a target that crashed goes on, and refuses connections. A target that is
+    silent may be cut off, or without power.
+    """
+
+    ACCEPTING = "accepting"
+    REFUSING = "refusing"
+    SILENT = "silent"
+
+
 def may_show_crash(*, is_listed, is_leaving, is_stalled):
     """Return whether a connection that ended may show that its target crashed.
 
@@ -143,6 +158,7 @@
         self._suspicious_parts = frozenset()
         self._blocked_contents = frozenset()
         self._suspicious_contents = frozenset()
+        self._repeated_contents = frozenset()
         self.version = 0
 
     @property
@@ -218,6 +234,23 @@
             return False
         return self._suspicious_parts.isdisjoint(content.parts)
 
+    def may_run_beside(self, content, running, *, now_ms):
+        """Return whether a request may run while others do.
+
+        A caller in a hurry sends several at once. If such requests were lost in several
+        crashes, each may crash a target before the first one shows what they do.
+
+        Args:
+            content: The ``RequestContent`` of the request.
+            running: Those of the requests that run.
+        """
+        self._drop_expired(now_ms)
+        suspicions = self._suspicious_parts.intersection(content.parts)
+        suspicions |= self._repeated_contents & {content.digest}
+        return not suspicions or all(
+            suspicions.isdisjoint((other.digest, *other.parts)) for other in running
+        )
+
     def lost_requests(self):
         """Return the ``LostRequest`` records that other processes should know."""
         return [
@@ -370,17 +403,19 @@
     def _decide(self):
         """Decide anew what is blocked; the order of the events does not matter."""
         crashes = dict(self._crashes)
-        events = self._events()
-
-        def count(targets):
-            return len({events[target] for target in targets})
-
+        outages = self._outages()
         # The same request in each of several crashes is evidence by itself, whatever
         # else the targets had begun.
+        targets_by_content = self._targets_by_content()
         crashes_by_content = {
-            digest: count(targets)
-            for digest, targets in self._targets_by_content().items()
+            digest: self._count_with_content(digest, targets, outages)
+            for digest, targets in targets_by_content.items()
         }
+        self._repeated_contents = frozenset(
+            digest
+            for digest, targets in targets_by_content.items()
+            if len(targets) >= SUSPICIOUS_CRASHES_COUNT
+        )
         self._blocked_contents = frozenset(
             digest
             for digest, crashes_count in crashes_by_content.items()
@@ -392,7 +427,7 @@
             if crashes_count >= SUSPICIOUS_CRASHES_COUNT
         )
         blocked = set()
-        while part := self._most_likely_part(crashes, count):
+        while part := self._most_likely_part(crashes, outages):
             blocked.add(part)
             crashes = {
                 target: crash
@@ -403,27 +438,50 @@
         self._suspicious_parts = frozenset(
             part
             for part, lost in self._lost_by_part(crashes).items()
-            if count(targets := {request.target for request in lost})
+            if self._count_with_part(
+                part, targets := {request.target for request in lost}, outages
+            )
             >= SUSPICIOUS_CRASHES_COUNT
             and not self._is_trusted(part, targets, crashes)
         )
         self._drop_surplus()
         self._index()
 
-    def _events(self):
-        """Return the event that each crash belongs to, by target."""
+    def _outages(self):
+        """Return the sets of targets that ended at once and may be outages."""
         groups = []
         for target, crash in sorted(
             self._crashes.items(), key=lambda item: item[1].at_ms
         ):
             if not groups or crash.at_ms - groups[-1][0] > OUTAGE_WINDOW_MS:
-                groups.append((crash.at_ms, []))
-            groups[-1][1].append(target)
-        return {
-            target: group[0] if len(group) >= OUTAGE_TARGETS_COUNT else target
-            for _, group in groups
-            for target in group
-        }
+                groups.append((crash.at_ms, set()))
+            groups[-1][1].add(target)
+        return [group for _, group in groups if len(group) >= OUTAGE_TARGETS_COUNT]
+
+    def _count_with_content(self, digest, targets, outages):
+        """Return how many crashes of the targets count for a whole request.
+
+        Targets that ended at once had an outage if one of them did not have it.
+        """
+        count = len(targets)
+        for outage in outages:
+            lost_count = len(outage & targets)
+            if lost_count and any(
+                digest not in self._crashes[target].lost for target in outage
+            ):
+                count -= lost_count - 1
+        return count
+
+    def _count_with_part(self, part, targets, outages):
+        """Return how many crashes of the targets count for a part."""
+        count = len(targets)
+        for outage in outages:
+            lost_count = len(outage & targets)
+            if lost_count:
+                count -= lost_count - 1
+                if lost_count == len(outage):
+                    count += SUSPICIOUS_CRASHES_COUNT - 1
+        return count
 
     def _lost_by_part(self, crashes):
         """Return the requests lost with each part that was not answered since."""
@@ -447,12 +505,12 @@
     def _still_counts(self, crash, key):
         return crash.at_ms > self._cleared_ms.get(key, float("-inf"))
 
-    def _most_likely_part(self, crashes, count):
+    def _most_likely_part(self, crashes, outages):
         """Return the part that explains most crashes, if it may be blocked."""
         best = None
         for part, lost in self._lost_by_part(crashes).items():
             targets = {request.target for request in lost}
-            crashes_count = count(targets)
+            crashes_count = self._count_with_part(part, targets, outages)
             if crashes_count < CRASHES_LIMIT_COUNT:
                 continue
             is_trusted = self._is_trusted(part, targets, crashes)
--- a/src/waxwinghold/_gateway/attempts.py
+++ b/src/waxwinghold/_gateway/attempts.py
@@ -119,6 +119,11 @@
         self._changed = asyncio.Event()
         self._hedge = Hedge(gateway=gateway, admitted=admitted, on_due=self._send_copy)
 
+    @property
+    def content(self):
+        """The ``RequestContent`` of the request."""
+        return self._admitted.content
+
     async def run(self):
         """Send the request and pass an answer on to the caller.
 
--- a/src/waxwinghold/_gateway/connection_pool.py
+++ b/src/waxwinghold/_gateway/connection_pool.py
@@ -1,6 +1,7 @@
 """The idle connections of one target, kept for reuse."""
 
 from .._decisions.connections import IDLE_LIMIT_COUNT
+from .._decisions.crash_suspects import Reachability
 from .connection import open_connection
 from .errors import ConnectError
 
@@ -49,14 +50,16 @@
             self._address, limit_ms=min(limit_ms, CONNECT_LIMIT_MS)
         )
 
-    async def accepts_connections(self):
-        """Return whether a new connection can be opened."""
+    async def reachability(self):
+        """Return the ``Reachability`` of the target, by a new connection."""
         try:
             connection = await open_connection(self._address, limit_ms=CONNECT_LIMIT_MS)
-        except ConnectError:
-            return False
+        except ConnectError as error:
+            if isinstance(error.__cause__, ConnectionRefusedError):
+                return Reachability.REFUSING
+            return Reachability.SILENT
         connection.abort()
-        return True
+        return Reachability.ACCEPTING
 
     def release(self, connection):
         """Keep ``connection`` for reuse, or close it if it cannot be used again."""
--- a/src/waxwinghold/_gateway/errors.py
+++ b/src/waxwinghold/_gateway/errors.py
@@ -214,6 +214,14 @@
     ran = Ran.MAY_HAVE_RUN
 
 
+class SuspectedRequestError(RequestError):
+    """Requests like it were lost as targets crashed, and one of them runs now."""
+
+    code = "suspected"
+    status = 503
+    retry_after_ms = 1000
+
+
 class HeadersTooLargeError(RequestError):
     """The request's headers exceed the limit."""
 
--- a/src/waxwinghold/_gateway/gateway.py
+++ b/src/waxwinghold/_gateway/gateway.py
@@ -29,6 +29,7 @@
     FailedAnswerError,
     SendError,
     StoppingError,
+    SuspectedRequestError,
     UnconfiguredError,
 )
 from .lost_connections import LostConnections
@@ -271,6 +272,7 @@
         admitted = self._admit(call)
         self.check_passing(admitted)
         self._check_content(admitted, ran=Ran.NOT_RUN)
+        self._check_alone(admitted)
         started_ms = self.clock.now_ms()
         attempts = Attempts(gateway=self, admitted=admitted, answer=answer)
         self._serving.add(attempts)
@@ -425,6 +427,19 @@
         if self.suspects.is_blocked(admitted.content, now_ms=self.clock.now_ms()):
             raise CrashingRequestError("such requests crashed several targets", ran=ran)
 
+    def _check_alone(self, admitted):
+        """Check that no request runs that may crash targets for the same reason.
+
+        Raises:
+            SuspectedRequestError: One does. The caller can retry when it has ended.
+        """
+        if not self.suspects.may_run_beside(
+            admitted.content,
+            (attempts.content for attempts in self._serving),
+            now_ms=self.clock.now_ms(),
+        ):
+            raise SuspectedRequestError("a request like it runs, and may crash targets")
+
     def _targets_count(self, signal):
         """Return how many targets have a signal, a method of ``TargetSignals``."""
         read = getattr(self.target_pool.signals, signal)
--- a/src/waxwinghold/_gateway/lost_connections.py
+++ b/src/waxwinghold/_gateway/lost_connections.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from .._decisions.crash_suspects import may_show_crash
+from .._decisions.crash_suspects import Reachability, may_show_crash
 
 log = logbook.Logger("lost_connections")
 
@@ -13,6 +13,7 @@
 # Several round trips: a target that crashed refuses connections at once. Callers wait
 # meanwhile, so that a silent target is not waited for.
 CHECK_WAIT_MS = 20.0
+CHECKS_LIMIT_COUNT = 2
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -31,8 +32,8 @@
 class LostConnections:
     """Records the requests that were lost as their targets crashed.
 
-    A target that still accepts connections has not crashed. It is asked once for all
-    requests that it lost at the same time.
+    A target that crashed refuses connections. It is asked once for all requests that it
+    lost at the same time.
 
     Args:
         suspects: The ``CrashSuspects``.
@@ -87,24 +88,33 @@
     async def _run(self, check, target):
         incarnation = target.incarnation
         try:
-            is_alive = await target.connections.accepts_connections()
+            reachability = await self._reachability(target)
             if target.incarnation != incarnation:
-                is_alive = False  # Its successor accepted the connection.
+                reachability = Reachability.REFUSING  # Its successor answered.
+            is_crash = reachability is Reachability.REFUSING
             log.info(
                 "connections lost",
                 extra={
                     "target": incarnation,
                     "requests": len(check.lost_requests),
-                    "crashed": not is_alive,
+                    "reachability": reachability.value,
                 },
             )
-            if not is_alive:
+            if is_crash:
                 for lost in check.lost_requests:
                     self._record_loss(incarnation, lost)
         finally:
             del self._checks[target]
             check.is_done.set()
 
+    async def _reachability(self, target):
+        # The first packet of a connection may be lost.
+        for _ in range(CHECKS_LIMIT_COUNT):
+            reachability = await target.connections.reachability()
+            if reachability is not Reachability.SILENT:
+                break
+        return reachability
+
     def _record_loss(self, incarnation, lost):
         blocked_count = self._suspects.blocked_count
         self._suspects.record_loss(
