Take up gateways of the own version of IP only

What callers saw: nothing. tests.test_fuzz_datagrams failed once, in a run of all gateway tests: a notice named the gateway a:b, and datagrams were sent to it. Alone the test passed here and on, as Hypothesis takes values from the constants of all loaded modules.

Cause: the pattern of addresses takes hexadecimal digits with colons for IPv6. The socket would look such a text up as a name, which blocks the process.

Change: a member of a notice is taken up only if it is an address of the own version of IP. Evidence: with the examples a:b and ::1 the test fails without the change and passes with it.

--- a/src/waxwinghold/_gateway/peers.py
+++ b/src/waxwinghold/_gateway/peers.py
@@ -7,6 +7,7 @@
 announcement interval.
 """
 
+import ipaddress
 import random
 
 import logbook
@@ -97,6 +98,7 @@
         self._target_pool = target_pool
         self._waiting_counts = waiting_counts
         self._suspects = suspects
+        self._ip_version = _ip_version(settings.peers_ip)
         self._lost_version = lost_version
         self._arrival_steps = arrival_steps
         self._suspect_exchange = SuspectExchange(
@@ -252,7 +254,10 @@
         if previous is None or previous.started_ms != notice.started_ms:
             peer.started_seen_ms = peer.last_seen_ms
         for member_ip in notice.members:
-            if member_ip != self.settings.peers_ip and member_ip not in self._peers:
+            if member_ip == self.settings.peers_ip or member_ip in self._peers:
+                continue
+            # The socket would look up any other text as a name, which blocks.
+            if _ip_version(member_ip) == self._ip_version:
                 self._peers[member_ip] = Peer()
                 self._peers[member_ip].last_seen_ms = peer.last_seen_ms
         previous_counts = {} if previous is None else previous.counts
@@ -398,3 +403,11 @@
         for target in self._target_pool:
             target.peers_in_flight_count = totals.get(target.listing.name, 0)
         self._target_pool.notify_listeners()
+
+
+def _ip_version(text):
+    """Return the version of an IP address, or ``None`` if it is none."""
+    try:
+        return ipaddress.ip_address(text).version
+    except ValueError:
+        return None
--- a/tests/test_fuzz_datagrams.py
+++ b/tests/test_fuzz_datagrams.py
@@ -184,6 +184,9 @@
     @given(RECEIVED)
     @example([("127.0.9.9", GatewayNotice(FORMAT, "x", "d", 1, 1, ["\0"], {}, {}))])
     @example([("127.0.9.9", GatewayNotice(FORMAT, "x", "d", 1, 1, ["a.b"], {}, {}))])
+    # Hexadecimal digits and colons alone are no address, or none of this network.
+    @example([("127.0.9.9", GatewayNotice(FORMAT, "x", "d", 1, 1, ["a:b"], {}, {}))])
+    @example([("127.0.9.9", GatewayNotice(FORMAT, "x", "d", 1, 1, ["::1"], {}, {}))])
     def test_any_notices_leave_the_gateway_able_to_send_and_choose(self, received):
         peers, pool = self.peers()
         self.receive(peers, received)
