--- a/tests/test_gateway_crashing_streams.py
+++ b/tests/test_gateway_crashing_streams.py
@@ -16,14 +16,14 @@
 class CrashingStreamTests(LoopCase):
     """The first event of each run cleared the request of the crashes before it."""
 
-    async def crash(self, path, *, gateways_count=1):
+    async def crash(self, path, *, gateways_count=1, events_count=1):
         """Send a request for ``path``, which crashes targets, again and again."""
         fleet = GatewayFleet(
             gateways_count=gateways_count,
             workers_count=6,
             behaviour="stream",
             crash_path=path,
-            crash_events_count=1,
+            crash_events_count=events_count,
             restart_ms=RESTART_MS,
         )
         async with fleet.open():
@@ -39,6 +39,10 @@
         crashes_count = await self.crash("/stream/crashing")
         self.assertEqual(crashes_count, CRASHES_LIMIT_COUNT)
 
+    async def test_a_stream_that_crashes_them_with_its_last_event(self):
+        crashes_count = await self.crash("/stream/crashing", events_count=5)
+        self.assertEqual(crashes_count, CRASHES_LIMIT_COUNT)
+
     async def test_a_stream_that_may_run_once_only(self):
         crashes_count = await self.crash("/once/crashing")
         self.assertEqual(crashes_count, CRASHES_LIMIT_COUNT)
