Name what decides whether a request uses a kept connection

No change of behaviour: read as a newcomer, `_may_doubt` did not say what it is asked for. The module of crash suspects says in its head what a rack that ends shows.

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -13,7 +13,8 @@
 
 A connection that ends is no evidence if its target goes on without it: a target whose
 group lost another rank cuts off what it has, again and again, also streams that are
-sound.
+sound. Targets that end at once are no evidence against a request if some of them did
+not have it: a rack may have ended.
 """
 
 import collections
@@ -72,7 +73,7 @@
 def may_show_crash(*, is_listed, is_leaving, is_stalled):
     """Return whether a connection that ended may show that its target crashed.
 
-    If so, the target shows it by accepting no new connection.
+    If so, the target shows it by refusing a new connection.
 
     Args:
         is_listed: Whether the platform still lists the target.
--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -176,7 +176,7 @@
         """
         route = self._route
         connection = await target.connections.acquire(
-            fresh=self._needs_new_connection or not self._may_doubt(target),
+            fresh=not self._may_use_kept_connection(target),
             limit_ms=self._left_ms(),
             request_id=self._call.request_id,
         )
@@ -210,11 +210,13 @@
         if not is_stream:
             await self._pass_whole(head, body)
 
-    def _may_doubt(self, target):
-        """Return whether an answer in doubt could be replaced by that of another send.
+    def _may_use_kept_connection(self, target):
+        """Return whether the request may be sent on a connection that carried others.
 
-        On a kept connection an answer may be in doubt.
+        An answer there may be in doubt, and is then replaced by that of another send.
         """
+        if self._needs_new_connection:
+            return False
         if not (self._route.repeatable and self._has_another):
             return False
         if target.quotes_answers(now_ms=self._clock.now_ms()):
