Count requests that targets drop before they answer, as before

Cause: a target that accepts a connection was taken for one that cut the request off. It cuts off only what it had begun to answer; a rank that cannot begin a request rejects it.

Change: the loss of a request that was not begun counts unless the target is silent. Begun answers count if it refuses connections, as before this commit.

test_gateway_cut_heads compared all connections of a target to see that a request used the kept one. The check of the target opens one that carries no request, so that it compares those that carried any.

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -11,10 +11,10 @@
 for them from the parts beside it, so that a part which every request has is not blocked
 for another one.
 
-A connection that ends is no evidence if its target goes on without it: a target whose
-group lost another rank cuts off what it has, again and again, also streams that are
-sound. Targets that end at once are no evidence against a request if some of them did
-not have it: a rack may have ended.
+An answer that ends early is no evidence if its target goes on without it: a target
+whose group lost another rank cuts off what it has, again and again, also streams that
+are sound. Targets that end at once are no evidence against a request if some of them
+did not have it: a rack may have ended.
 """
 
 import collections
@@ -73,7 +73,7 @@
 def may_show_crash(*, is_listed, is_leaving, is_stalled):
     """Return whether a connection that ended may show that its target crashed.
 
-    If so, the target shows it by refusing a new connection.
+    If so, the ``Reachability`` of the target tells, see ``shows_crash``.
 
     Args:
         is_listed: Whether the platform still lists the target.
@@ -84,6 +84,21 @@
     return is_listed and not is_leaving and not is_stalled
 
 
+def shows_crash(reachability, *, is_begun):
+    """Return whether the loss of a request counts as a crash of its target.
+
+    A target that goes on cuts off answers that it had begun, as a rank does whose group
+    lost another one. What it had not begun it would reject.
+
+    Args:
+        reachability: The ``Reachability`` of the target after the loss.
+        is_begun: Whether the target had begun to answer the request.
+    """
+    if reachability is Reachability.ACCEPTING:
+        return not is_begun
+    return reachability is Reachability.REFUSING
+
+
 @dataclass(frozen=True, kw_only=True)
 class RequestContent:
     """What may make a request crash its target.
--- a/src/waxwinghold/_gateway/lost_connections.py
+++ b/src/waxwinghold/_gateway/lost_connections.py
@@ -5,7 +5,7 @@
 
 import logbook
 
-from .._decisions.crash_suspects import Reachability, may_show_crash
+from .._decisions.crash_suspects import Reachability, may_show_crash, shows_crash
 
 log = logbook.Logger("lost_connections")
 
@@ -32,8 +32,8 @@
 class LostConnections:
     """Records the requests that were lost as their targets crashed.
 
-    A target that crashed refuses connections. It is asked once for all requests that it
-    lost at the same time.
+    What a target does with a new connection shows whether it crashed. It is asked once
+    for all requests that it lost at the same time.
 
     Args:
         suspects: The ``CrashSuspects``.
@@ -91,18 +91,22 @@
             reachability = await self._reachability(target)
             if target.incarnation != incarnation:
                 reachability = Reachability.REFUSING  # Its successor answered.
-            is_crash = reachability is Reachability.REFUSING
+            crash_losses = [
+                lost
+                for lost in check.lost_requests
+                if shows_crash(reachability, is_begun=lost.is_begun)
+            ]
             log.info(
                 "connections lost",
                 extra={
                     "target": incarnation,
                     "requests": len(check.lost_requests),
+                    "counted": len(crash_losses),
                     "reachability": reachability.value,
                 },
             )
-            if is_crash:
-                for lost in check.lost_requests:
-                    self._record_loss(incarnation, lost)
+            for lost in crash_losses:
+                self._record_loss(incarnation, lost)
         finally:
             del self._checks[target]
             check.is_done.set()
--- a/src/waxwinghold_standins/_raw_http.py
+++ b/src/waxwinghold_standins/_raw_http.py
@@ -36,11 +36,13 @@
     Attributes:
         address: ``(ip, port)`` of the server once it was started.
         connections_count: Number of connections accepted so far.
+        used_connections_count: Number of those that have carried a request.
     """
 
     def __init__(self):
         self.address = None
         self.connections_count = 0
+        self.used_connections_count = 0
         self._server = None
         self._writers = set()
         self._tasks = set()
@@ -72,10 +74,13 @@
         self.connections_count += 1
         self._writers.add(writer)
         self._tasks.add(asyncio.current_task())
+        is_used = False
         try:
-            while True:
-                request = await read_request(reader)
-                if request is None or not await self.handle(request, writer):
+            while (request := await read_request(reader)) is not None:
+                if not is_used:
+                    is_used = True
+                    self.used_connections_count += 1
+                if not await self.handle(request, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError):
             return
--- a/tests/test_decisions_crashing_requests.py
+++ b/tests/test_decisions_crashing_requests.py
@@ -6,8 +6,10 @@
 
 from waxwinghold._decisions.crash_suspects import (
     CrashSuspects,
+    Reachability,
     RequestContent,
     may_show_crash,
+    shows_crash,
 )
 
 TARGETS_COUNT = 3
@@ -238,8 +240,9 @@
     def is_stalled(self, now_ms):
         return any(rank.up_from_ms + FORM_MS > now_ms for rank in self.group)
 
-    def accepts_connections(self, now_ms):
-        return self.up_from_ms <= now_ms
+    def reachability(self, now_ms):
+        is_up = self.up_from_ms <= now_ms
+        return Reachability.ACCEPTING if is_up else Reachability.REFUSING
 
 
 class StreamsInGroups:
@@ -353,7 +356,7 @@
         may_have_crashed = may_show_crash(
             is_listed=True, is_leaving=False, is_stalled=is_stalled
         )
-        if may_have_crashed and not rank.accepts_connections(now_ms):
+        if may_have_crashed and shows_crash(rank.reachability(now_ms), is_begun=True):
             gateway.record_loss(
                 request, target=incarnation, is_begun=True, now_ms=now_ms
             )
--- a/tests/test_gateway_cut_heads.py
+++ b/tests/test_gateway_cut_heads.py
@@ -31,7 +31,9 @@
             status, _, _ = await fixture.call("/safe/a", request_id=f"before-{number}")
             self.assertEqual(status, 200)
         worker.behaviour = "cut"
-        runs_count, connections_count = len(worker.runs), worker.connections_count
+        runs_count = len(worker.runs)
+        # The gateway also opens one to see whether the target goes on.
+        connections_count = worker.used_connections_count
         try:
             async with asyncio.timeout(CALL_LIMIT_S):
                 status, headers, body = await fixture.call(
@@ -42,7 +44,7 @@
         finally:
             self.assertEqual(len(worker.runs), runs_count + 1)
             if is_kept and path.startswith(("/safe/", "/stream/")):
-                self.assertEqual(worker.connections_count, connections_count)
+                self.assertEqual(worker.used_connections_count, connections_count)
         is_framed = "Content-Length" in headers or "Transfer-Encoding" in headers
         return status, headers.get("Server-Seal"), body if is_framed else None
 
--- a/tests/test_gateway_lost_connections.py
+++ b/tests/test_gateway_lost_connections.py
@@ -68,12 +68,12 @@
             spawn=asyncio.ensure_future,
         )
 
-    async def lose(self, target, *calls, is_listed=True):
+    async def lose(self, target, *calls, is_listed=True, is_begun=True):
         """Lose requests at once, and return how many count."""
         self.listed["w0"] = target if is_listed else None
         await asyncio.gather(
             *(
-                self.lost_connections.record(target, admitted(call), is_begun=True)
+                self.lost_connections.record(target, admitted(call), is_begun=is_begun)
                 for call in calls
             )
         )
@@ -87,6 +87,13 @@
     async def test_what_a_target_cuts_off_does_not_count(self):
         self.assertEqual(await self.lose(_Target(Reachability.ACCEPTING), "a"), 0)
 
+    async def test_a_target_that_drops_requests_before_it_answers_counts(self):
+        # It would reject what its group cannot begin.
+        target = _Target(Reachability.ACCEPTING)
+        self.assertEqual(await self.lose(target, "a", is_begun=False), 1)
+        silent = _Target(*[Reachability.SILENT] * CHECKS_LIMIT_COUNT)
+        self.assertEqual(await self.lose(silent, "b", is_begun=False), 1)
+
     async def test_a_silent_target_is_asked_again_and_has_shown_no_crash(self):
         target = _Target(*[Reachability.SILENT] * CHECKS_LIMIT_COUNT)
         self.assertEqual(await self.lose(target, "a"), 0)
