Tell a data centre that is cut off with resets from crashes

Ruled out: single runs of suspected requests and blocked contents (none in the logs).

Change: where a target refuses connections, two others of its data centre that lost nothing at this gateway are asked, too. If none accepts, the data centre is cut off, and nothing counts. If there is no other, the crash counts as before.

--- a/src/waxwinghold/_gateway/lost_connections.py
+++ b/src/waxwinghold/_gateway/lost_connections.py
@@ -1,6 +1,7 @@
 """Finds out which lost connections show that their targets crashed."""
 
 import asyncio
+import random
 from dataclasses import dataclass, field
 
 import logbook
@@ -14,6 +15,9 @@
 # meanwhile, so that a silent target is not waited for.
 CHECK_WAIT_MS = 20.0
 CHECKS_LIMIT_COUNT = 2
+# Other targets of a data centre that show whether it is cut off.
+WITNESSES_COUNT = 2
+REFUSED_MEMORY_MS = 5000.0  # A target that crashed is back after some seconds.
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -49,6 +53,8 @@
         self._metrics = metrics
         self._spawn = spawn
         self._checks = {}  # The running ``_Check`` by ``TrackedTarget``.
+        # When targets that lost requests last refused connections.
+        self._refused_ms = {}
 
     async def record(self, target, admitted, *, is_begun):
         """Record that the connection that carried a request has ended.
@@ -91,6 +97,10 @@
             reachability = await self._reachability(target)
             if target.incarnation != incarnation:
                 reachability = Reachability.REFUSING  # Its successor answered.
+            elif reachability is Reachability.REFUSING:
+                self._refused_ms[target] = self._clock.now_ms()
+                if await self._is_cut_off(target.listing.data_centre):
+                    reachability = Reachability.SILENT
             crash_losses = [
                 lost
                 for lost in check.lost_requests
@@ -119,6 +129,30 @@
                 break
         return reachability
 
+    async def _is_cut_off(self, data_centre):
+        """Return whether targets of a data centre refuse connections that lost nothing.
+
+        Something between may reset all connections to a data centre.
+        """
+        now_ms = self._clock.now_ms()
+        self._refused_ms = {
+            target: refused_ms
+            for target, refused_ms in self._refused_ms.items()
+            if now_ms - refused_ms <= REFUSED_MEMORY_MS
+        }
+        others = [
+            other
+            for other in self._target_pool
+            if other.listing.data_centre == data_centre
+            and other not in self._checks
+            and other not in self._refused_ms
+        ]
+        others = random.sample(others, min(WITNESSES_COUNT, len(others)))
+        answers = await asyncio.gather(
+            *(other.connections.reachability() for other in others)
+        )
+        return bool(answers) and Reachability.ACCEPTING not in answers
+
     def _record_loss(self, incarnation, lost):
         blocked_count = self._suspects.blocked_count
         self._suspects.record_loss(
--- a/tests/test_gateway_lost_connections.py
+++ b/tests/test_gateway_lost_connections.py
@@ -23,9 +23,9 @@
 class _Target:
     """A target that answers new connections as it is told, after a while."""
 
-    def __init__(self, *reachabilities):
-        self.listing = SimpleNamespace(name="w0")
-        self.incarnation = "w0/1"
+    def __init__(self, *reachabilities, name="w0", data_centre="dc-a"):
+        self.listing = SimpleNamespace(name=name, data_centre=data_centre)
+        self.incarnation = f"{name}/1"
         self.connections = self
         self.is_stalled_now = False
         self.is_leaving_now = False
@@ -46,6 +46,13 @@
         return self.is_leaving_now
 
 
+class _Pool(dict):
+    """The listed targets by name."""
+
+    def __iter__(self):
+        return iter(self.values())
+
+
 def admitted(call):
     return SimpleNamespace(
         content=RequestContent(call=(call.encode(),)),
@@ -59,7 +66,7 @@
     def setUp(self):
         super().setUp()
         self.suspects = CrashSuspects()
-        self.listed = {}
+        self.listed = _Pool()
         self.lost_connections = LostConnections(
             clock=FakeClock(),
             suspects=self.suspects,
@@ -70,7 +77,8 @@
 
     async def lose(self, target, *calls, is_listed=True, is_begun=True):
         """Lose requests at once, and return how many count."""
-        self.listed["w0"] = target if is_listed else None
+        if is_listed:
+            self.listed[target.listing.name] = target
         await asyncio.gather(
             *(
                 self.lost_connections.record(target, admitted(call), is_begun=is_begun)
@@ -119,6 +127,34 @@
                 self.assertEqual(await self.lose(target, "a", is_listed=is_listed), 0)
                 self.assertEqual(target.checks_count, 0)
 
+    def list_others(self, *reachabilities, data_centre="dc-a"):
+        for number, reachability in enumerate(reachabilities, 1):
+            name = f"w{number}"
+            self.listed[name] = _Target(
+                reachability, name=name, data_centre=data_centre
+            )
+
+    async def test_a_data_centre_whose_connections_are_all_reset_shows_no_crash(self):
+        # Gateways told each other of each target there, again and again.
+        self.list_others(Reachability.REFUSING, Reachability.SILENT)
+        self.assertEqual(await self.lose(_Target(Reachability.REFUSING), "a"), 0)
+
+    async def test_a_crash_beside_targets_that_go_on_counts(self):
+        self.list_others(Reachability.ACCEPTING, Reachability.REFUSING)
+        self.assertEqual(await self.lose(_Target(Reachability.REFUSING), "a"), 1)
+
+    async def test_the_targets_of_other_data_centres_are_not_asked(self):
+        self.list_others(*[Reachability.REFUSING] * 2, data_centre="dc-b")
+        self.assertEqual(await self.lose(_Target(Reachability.REFUSING), "a"), 1)
+
+    async def test_copies_that_crash_all_targets_of_a_data_centre_count(self):
+        targets = [_Target(Reachability.REFUSING, name=f"w{n}") for n in range(3)]
+        for target in targets:
+            self.listed[target.listing.name] = target
+        await asyncio.gather(*(self.lose(target, "a") for target in targets))
+        self.assertEqual(len(self.suspects.lost_requests()), 3)
+        self.assertEqual([target.checks_count for target in targets], [1, 1, 1])
+
     async def test_a_later_loss_is_checked_anew(self):
         target = _Target(Reachability.ACCEPTING, Reachability.REFUSING)
         self.assertEqual(await self.lose(target, "a"), 0)
