Send a request on at once if it was not lost before

Cause, suspected: each lost request waited up to 20 ms for the check of its target before it was sent on, and a stream is late after a pause of 120 ms.

Change: it waits only if the whole request was lost in a crash before. Otherwise the outcome of the check does not decide whether it may be sent once more.

--- a/src/waxwinghold/_decisions/crash_suspects.py
+++ b/src/waxwinghold/_decisions/crash_suspects.py
@@ -267,6 +267,10 @@
             suspicions.isdisjoint((other.digest, *other.parts)) for other in running
         )
 
+    def was_lost(self, content):
+        """Return whether the whole request was lost in a crash that is remembered."""
+        return content.digest in self._last_crash_ms
+
     def lost_requests(self):
         """Return the ``LostRequest`` records that other processes should know."""
         return [
--- a/src/waxwinghold/_gateway/lost_connections.py
+++ b/src/waxwinghold/_gateway/lost_connections.py
@@ -59,7 +59,9 @@
     async def record(self, target, admitted, *, is_begun):
         """Record that the connection that carried a request has ended.
 
-        Returns when it is known whether the target crashed, or soon after.
+        Returns at once if the request was not lost before: it may then be sent again in
+        any case. Otherwise it returns when it is known whether the target crashed, or
+        soon after.
 
         Args:
             target: The ``TrackedTarget``.
@@ -77,6 +79,8 @@
                 admitted=admitted, is_begun=is_begun, at_ms=self._clock.now_ms()
             )
         )
+        if not self._suspects.was_lost(admitted.content):
+            return
         try:
             async with asyncio.timeout(CHECK_WAIT_MS / MS_PER_SECOND):
                 await check.is_done.wait()
--- a/tests/test_gateway_lost_connections.py
+++ b/tests/test_gateway_lost_connections.py
@@ -72,8 +72,9 @@
             suspects=self.suspects,
             target_pool=self.listed,
             metrics=Metrics(process="gateway-1"),
-            spawn=asyncio.ensure_future,
+            spawn=lambda check: self.checks.append(asyncio.create_task(check)),
         )
+        self.checks = []
 
     async def lose(self, target, *calls, is_listed=True, is_begun=True):
         """Lose requests at once, and return how many count."""
@@ -85,6 +86,7 @@
                 for call in calls
             )
         )
+        await asyncio.gather(*self.checks)
         return len(self.suspects.lost_requests())
 
     async def test_all_that_a_crashed_target_lost_counts_after_one_check(self):
@@ -155,6 +157,15 @@
         self.assertEqual(len(self.suspects.lost_requests()), 3)
         self.assertEqual([target.checks_count for target in targets], [1, 1, 1])
 
+    async def test_a_request_waits_for_the_check_only_if_it_was_lost_before(self):
+        # The pause in a stream that goes on elsewhere is to be short.
+        self.assertEqual(await self.lose(_Target(Reachability.REFUSING), "a"), 1)
+        for call, is_known in (("b", False), ("a", True)):
+            target = self.listed["w0"] = _Target(Reachability.ACCEPTING)
+            await self.lost_connections.record(target, admitted(call), is_begun=True)
+            self.assertIs(self.checks[-1].done(), is_known)
+            await asyncio.gather(*self.checks)
+
     async def test_a_later_loss_is_checked_anew(self):
         target = _Target(Reachability.ACCEPTING, Reachability.REFUSING)
         self.assertEqual(await self.lose(target, "a"), 0)
