Send streams on kept connections again

Cause: a new connection replaces a doubt about a whole body. An event of a stream is never in doubt: a head in it is another answer's.

--- a/src/waxwinghold/_gateway/sending.py
+++ b/src/waxwinghold/_gateway/sending.py
@@ -213,16 +213,18 @@
     def _may_use_kept_connection(self, target):
         """Return whether the request may be sent on a connection that carried others.
 
-        An answer there may be in doubt, and is then replaced by that of another send.
+        A body that arrives there may be in doubt, and is then replaced by that of
+        another send. An event of a stream never is.
         """
-        if self._needs_new_connection:
-            return False
-        if not (self._route.repeatable and self._has_another):
+        route = self._route
+        # The answer to a request without an id cannot be told from earlier ones.
+        if not route.repeatable or not self._call.request_id:
             return False
-        if target.quotes_answers(now_ms=self._clock.now_ms()):
+        if route.kind is RequestKind.STREAM:
+            return True
+        if self._needs_new_connection or not self._has_another:
             return False
-        # The answer to a request without an id cannot be told from earlier ones.
-        return bool(self._call.request_id)
+        return not target.quotes_answers(now_ms=self._clock.now_ms())
 
     def _request_bytes(self, target):
         return self._gateway.codec.request_bytes(
