--- a/review/common_3.py
+++ b/review/common_3.py
@@ -418,6 +418,100 @@
         return answer_bytes(200, b"x" * 800, headers)
 
 
+def plain_configuration():
+    """Return a configuration with one unsafe route to the service ``desk``."""
+    return {
+        "version": 3,
+        "routes": [
+            {
+                "name": "r-pay",
+                "host": "desk.example",
+                "prefix": "/pay/",
+                "route-kind": "unsafe",
+                "timeout-ms": 1500,
+                "goal-ms": 203,
+                "priority": 2,
+                "service": "desk",
+                "max-attempts": 2,
+                "anonymous": False,
+            }
+        ],
+        "services": [
+            {
+                "name": "desk",
+                "health-path": "/healthz",
+                "max-conns": 110,
+                "protocol": "h1",
+                "tls": False,
+            }
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 4194304,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [{"name": "guild", "api-keys": ["key-1"], "priority": 1}],
+    }
+
+
+class BodyCaller:
+    """Sends requests with long bodies, one after the other on a kept connection.
+
+    ``outcomes`` gets ``(attempt id, outcome, whether the connection was kept)``.
+    """
+
+    def __init__(self, number, address, record, outcomes, *, body_bytes, pause_s):
+        self._number = number
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self._record = record
+        self._outcomes = outcomes
+        self._body = b"b" * body_bytes
+        self._pause_s = pause_s
+
+    async def run(self, until):
+        answered_count, streams, count = 0, None, 0
+        await asyncio.sleep(self._number % 100 * 0.02)
+        while time.monotonic() < until:
+            count += 1
+            attempt = f"{self._number:04d}{count:012d}"
+            if streams is None:
+                answered_count = 0
+                try:
+                    streams = await asyncio.open_connection(self._host, self._port)
+                except OSError:
+                    await asyncio.sleep(0.1)  # The process is being started again.
+                    continue
+            reader, writer = streams
+            began = time.monotonic()
+            head = (
+                "POST /pay/2f HTTP/1.1\r\nHost: desk.example\r\n"
+                f"Attempt-Id: {attempt}\r\nDeadline-Ms: 1520\r\n"
+                f"Credential: key-1\r\nContent-Length: {len(self._body)}\r\n\r\n"
+            )
+            closes = True
+            try:
+                writer.write(head.encode() + self._body)
+                await writer.drain()
+                message = await asyncio.wait_for(read_message(reader), 3.0)
+                outcome = str(message.status)
+                closes = message.headers.get("connection", "").lower() == "close"
+                answered_count += 1
+            except (ConnectionError, asyncio.IncompleteReadError):
+                outcome = "closed without an answer"
+            except asyncio.TimeoutError:
+                outcome = "no answer in 3 s"
+            took_ms = round(1000 * (time.monotonic() - began))
+            is_kept = answered_count > (outcome.isdigit())
+            self._outcomes.append((attempt, outcome, is_kept))
+            self._record.write(f"{attempt} {outcome} after {took_ms} ms")
+            if closes:
+                writer.close()
+                streams = None
+            await asyncio.sleep(self._pause_s)
+
+
 async def is_ready(address):
     try:
         host, _, port = address.rpartition(":")
