--- a/review/common_3.py
+++ b/review/common_3.py
@@ -458,7 +458,8 @@
 class BodyCaller:
     """Sends requests with long bodies, one after the other on a kept connection.
 
-    ``outcomes`` gets ``(attempt id, outcome, whether the connection was kept)``.
+    ``outcomes`` gets ``(attempt id, outcome, whether the connection was kept, name of
+    the machine)``.
     """
 
     def __init__(self, number, address, record, outcomes, *, body_bytes, pause_s):
@@ -470,6 +471,13 @@
         self._body = b"b" * body_bytes
         self._pause_s = pause_s
 
+    async def connect(self):
+        return await asyncio.open_connection(self._host, self._port)
+
+    def node_name(self):
+        """Return the name of the machine of the present connection."""
+        return ""
+
     async def run(self, until):
         answered_count, streams, count = 0, None, 0
         await asyncio.sleep(self._number % 100 * 0.02)
@@ -479,11 +487,12 @@
             if streams is None:
                 answered_count = 0
                 try:
-                    streams = await asyncio.open_connection(self._host, self._port)
+                    streams = await self.connect()
                 except OSError:
                     await asyncio.sleep(0.1)  # The process is being started again.
                     continue
             reader, writer = streams
+            name = self.node_name()
             began = time.monotonic()
             head = (
                 "POST /pay/2f HTTP/1.1\r\nHost: desk.example\r\n"
@@ -504,7 +513,7 @@
                 outcome = "no answer in 3 s"
             took_ms = round(1000 * (time.monotonic() - began))
             is_kept = answered_count > (outcome.isdigit())
-            self._outcomes.append((attempt, outcome, is_kept))
+            self._outcomes.append((attempt, outcome, is_kept, name))
             self._record.write(f"{attempt} {outcome} after {took_ms} ms")
             if closes:
                 writer.close()
